--- /dev/null
+++ b/Makefile
@@ -0,0 +1,48 @@
+# Targets: setup, demo, up, test, lint, format, generate, experiments, clean.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+PACKAGES := packages/wagtailstream-core packages/wagtailstream-platform packages/wagtailstream-entry packages/wagtailstream-agent
+SOURCES := packages standins experiments tests tools
+PORT ?= 0
+
+.PHONY: setup demo up test lint format generate experiments clean
+
+setup: $(READY)
+
+$(READY): requirements.txt $(PACKAGES:%=%/pyproject.toml)
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	touch $(READY)
+
+demo: setup
+	@$(BIN)/python -m standins.demo run
+
+up: setup
+	@exec $(BIN)/python -m standins.demo up --port $(PORT)
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy packages standins experiments tools
+	$(BIN)/python tools/check_imports.py
+
+format: setup
+	$(BIN)/ruff check --fix $(SOURCES)
+	$(BIN)/ruff format $(SOURCES)
+
+# Needs grpcio-tools and mypy-protobuf, which requirements-generate.txt names.
+generate: setup
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-generate.txt
+	cd packages/wagtailstream-core && ../../$(BIN)/python -m grpc_tools.protoc -I. --plugin=protoc-gen-grpclib_python=../../$(BIN)/protoc-gen-grpclib_python --plugin=protoc-gen-mypy=../../$(BIN)/protoc-gen-mypy --python_out=. --grpclib_python_out=. --mypy_out=. wagtailstream_core/wire.proto
+
+experiments: setup
+	$(BIN)/python -m experiments
+
+clean:
+	rm -rf $(VENV) .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Seeded measurements of the decisions, each beside the naive version."""
--- /dev/null
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -0,0 +1,257 @@
+"""Wires the agent together, serves, and shuts down gracefully."""
+
+import asyncio
+import collections.abc
+import logging
+import signal
+import typing
+
+import grpclib.server
+
+from wagtailstream_agent import (
+    claims,
+    engine,
+    gate,
+    grpc_service,
+    loader,
+    plain_service,
+    results,
+    runner,
+    settings,
+    slots,
+)
+from wagtailstream_core import (
+    clock,
+    configuration,
+    wire_codec,
+    wire_pb2,
+    work,
+)
+from wagtailstream_platform import (
+    bill_outbox,
+    factory,
+    follower,
+    log_client,
+    metrics,
+)
+
+DRAIN_POLL_SECONDS = 0.05
+FLUSH_LIMIT_SECONDS = 5.0
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Agent(runner.GateKeeper):
+    """The process beside one endpoint.
+
+    :param agent_settings: the validated settings.
+    """
+
+    def __init__(self, agent_settings: settings.AgentSettings) -> None:
+        self._settings = agent_settings
+        self._socket = factory.bind(agent_settings)
+        self._clock = clock.SystemClock()
+        self._metrics = factory.make_metrics(agent_settings)
+        self._log = log_client.HttpLogClient(str(agent_settings.platform.log))
+        self._follower = follower.Follower(
+            self._log,
+            agent_settings.load_keyring(),
+            agent_settings.data_centre,
+            self._clock,
+            self._metrics,
+        )
+        self._outbox = bill_outbox.BillOutbox(
+            self._log,
+            agent_settings.bill_buffer,
+            agent_settings.bill_window_seconds,
+            self._metrics,
+        )
+        self._slots = slots.Slots(agent_settings.slots, agent_settings.queue)
+        self._results = results.ResultTable()
+        self._loader: loader.Loader | None = None
+        self._runner = self._make_runner()
+        self._service = grpc_service.AgentService(
+            self._runner,
+            self._follower,
+            self._outbox,
+            self._results,
+            self._make_heartbeat,
+        )
+        self._is_draining = False
+        self._sequence = 0
+        self._tasks: list[asyncio.Task[None]] = []
+        self._stop = asyncio.Event()
+
+    @property
+    def name(self) -> str:
+        """The agent's name, for refusals."""
+        return self._settings.instance
+
+    @property
+    def configuration_offset(self) -> int:
+        """The offset of the configuration in force here."""
+        return self._follower.state.offset
+
+    def check(self, attempt: work.Attempt) -> gate.Verdict:
+        """Return whether the attempt may be dispatched now.
+
+        :param attempt: the attempt.
+        """
+        verdict = gate.check(
+            gate.GateState(
+                self._settings.instance,
+                self._settings.endpoint,
+                self._follower.state,
+                self._follower.judge(),
+                self._is_draining,
+                self._outbox.is_full,
+                self._clock.wall(),
+            ),
+            attempt,
+        )
+        if verdict.is_error():
+            self._metrics.count(
+                metrics.Metric.REFUSED, verdict.error.reason.value
+            )
+        return verdict
+
+    def _make_runner(self) -> runner.Runner:
+        url = str(self._settings.endpoint_url)
+        if self._settings.kind == "engine":
+            model_engine = engine.HttpEngine(url)
+            self._loader = loader.Loader(
+                model_engine, self._follower, self._settings.endpoint
+            )
+            return runner.ModelRunner(
+                self,
+                self._settings.endpoint,
+                self._slots,
+                self._clock,
+                model_engine,
+            )
+        service_runner = runner.ServiceRunner(
+            self,
+            self._settings.endpoint,
+            self._slots,
+            self._clock,
+            plain_service.HttpService(url),
+            self._find_address(),
+            self._results,
+        )
+        self._follower.add_listener(self._make_ledger_listener(service_runner))
+        return service_runner
+
+    def _find_address(self) -> str:
+        return self._settings.advertised_address or (
+            f"{self._settings.host}:{self._socket.getsockname()[1]}"
+        )
+
+    def _make_ledger_listener(
+        self, service_runner: runner.ServiceRunner
+    ) -> follower.Listener:
+        def start_ledger(state: configuration.Configuration) -> None:
+            known = state.bundle
+            if known is None or service_runner.claim_ledger is not None:
+                return
+            place = known.find_endpoint(self._settings.endpoint)
+            if place is None or place.service is None:
+                return
+            claim_ledger = claims.ClaimLedger(
+                self._log,
+                place.service,
+                known.limits.claim_window_seconds,
+                self._clock,
+            )
+            service_runner.claim_ledger = claim_ledger
+            for coroutine in claim_ledger.list_tasks():
+                self._start(coroutine)
+
+        return start_ledger
+
+    def _make_heartbeat(self) -> wire_pb2.Heartbeat:
+        self._sequence += 1
+        state = self._loader.state if self._loader else None
+        if state is not None:
+            self._slots.resize(state.slots)
+        return wire_pb2.Heartbeat(
+            instance=self._settings.instance,
+            data_centre=self._settings.data_centre,
+            endpoint=self._settings.endpoint,
+            sequence=self._sequence,
+            configuration_offset=self._follower.state.offset,
+            draining=self._is_draining,
+            running=self._slots.running,
+            queued=self._slots.queued,
+            slots=self._slots.count,
+            loaded=[
+                wire_pb2.ModelVersion(model=v.model, version=v.version)
+                for v in (sorted(state.loaded) if state else ())
+            ],
+            contacts=wire_codec.encode_contacts(self._follower.contacts),
+        )
+
+    def _start(
+        self,
+        coroutine: collections.abc.Coroutine[typing.Any, typing.Any, None],
+    ) -> None:
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    async def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        loop = asyncio.get_running_loop()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._stop.set)
+        self._start(self._follower.run())
+        self._start(self._outbox.run())
+        if self._loader is not None:
+            self._start(self._loader.run())
+        server = self._make_server()
+        await server.start(sock=self._socket)
+        print(f"listening {self._socket.getsockname()[1]}", flush=True)
+        await self._stop.wait()
+        await self._shut_down(server)
+
+    def _make_server(self) -> grpclib.server.Server:
+        server = grpclib.server.Server([self._service])
+        grpc_service.require_authentication(
+            server,
+            factory.make_authenticator(self._settings),
+            self._metrics,
+        )
+        return server
+
+    async def _shut_down(self, server: grpclib.server.Server) -> None:
+        """Refuse new work, let what runs end, flush the bills, stop."""
+        self._is_draining = True
+        _LOGGER.info("draining", extra={"open": self._service.open_count})
+        await self._wait_idle()
+        server.close()
+        await server.wait_closed()
+        await self._flush()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        _LOGGER.info("stopped")
+
+    async def _wait_idle(self) -> None:
+        try:
+            async with asyncio.timeout(self._settings.drain_seconds):
+                while self._service.open_count:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+        except TimeoutError:
+            _LOGGER.warning(
+                "drain limit reached",
+                extra={"open": self._service.open_count},
+            )
+
+    async def _flush(self) -> None:
+        try:
+            async with asyncio.timeout(FLUSH_LIMIT_SECONDS):
+                while self._outbox.waiting_count:
+                    await self._outbox.flush()
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+        except TimeoutError:
+            _LOGGER.error(
+                "bills not durable at stop",
+                extra={"bills": self._outbox.waiting_count},
+            )
--- /dev/null
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -0,0 +1,258 @@
+"""The agent's gRPC service towards entries."""
+
+import asyncio
+import collections
+import collections.abc
+import logging
+import typing
+
+import grpclib
+import grpclib.const
+import grpclib.events
+import grpclib.server
+
+from wagtailstream_agent import execution, results, runner
+from wagtailstream_core import (
+    errors,
+    ledger,
+    wire_codec,
+    wire_grpc,
+    wire_pb2,
+)
+from wagtailstream_platform import auth, bill_outbox, follower, metrics
+
+SILENCE_SECONDS = 5.0
+LINK_METADATA_KEY = "wagtail-link"
+
+_LOGGER = logging.getLogger(__name__)
+
+HeartbeatMaker = collections.abc.Callable[[], wire_pb2.Heartbeat]
+RunStream = grpclib.server.Stream[wire_pb2.RunFrame, wire_pb2.AnswerFrame]
+WatchStream = grpclib.server.Stream[wire_pb2.Heartbeat, wire_pb2.Heartbeat]
+PushStream = grpclib.server.Stream[
+    wire_pb2.ConfigurationRecords, wire_pb2.ConfigurationPosition
+]
+PullStream = grpclib.server.Stream[
+    wire_pb2.ConfigurationPosition, wire_pb2.ConfigurationRecords
+]
+FetchStream = grpclib.server.Stream[
+    wire_pb2.ResultRequest, wire_pb2.ResultReply
+]
+
+
+class AgentService(wire_grpc.AgentBase):
+    """Serves runs, heartbeats, configuration records and results.
+
+    :param attempt_runner: runs attempts.
+    :param config_follower: holds the configuration in force.
+    :param outbox: holds bills until they are durable.
+    :param result_table: keeps the results of claimed requests.
+    :param make_heartbeat: returns this agent's present state.
+    """
+
+    def __init__(
+        self,
+        attempt_runner: runner.Runner,
+        config_follower: follower.Follower,
+        outbox: bill_outbox.BillOutbox,
+        result_table: results.ResultTable,
+        make_heartbeat: HeartbeatMaker,
+    ) -> None:
+        self._runner = attempt_runner
+        self._follower = config_follower
+        self._outbox = outbox
+        self._results = result_table
+        self._make_heartbeat = make_heartbeat
+        self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
+            collections.defaultdict(set)
+        )
+        self._cleanups: set[asyncio.Task[None]] = set()
+        self._open_count = 0
+
+    @property
+    def open_count(self) -> int:
+        """How many attempts are under way or not settled yet."""
+        return self._open_count
+
+    async def Run(self, stream: RunStream) -> None:  # noqa: N802
+        """Run one attempt.
+
+        :param stream: the entry's frames in, the answer's frames out.
+        """
+        frame = await stream.recv_message()
+        if frame is None:
+            return
+        attempt = wire_codec.decode_attempt(frame)
+        running = execution.Execution(
+            attempt,
+            self._runner,
+            self._outbox,
+            self._follower.state.offset,
+        )
+        self._open_count += 1
+        link = _find_link(stream)
+        task = asyncio.current_task()
+        if task is not None:
+            self._executions[link].add(task)
+        try:
+            await self._exchange(stream, running)
+        finally:
+            self._forget(link, task)
+            self._finish_in_background(running)
+
+    def _forget(
+        self, link: str, task: "asyncio.Task[typing.Any] | None"
+    ) -> None:
+        if task is not None:
+            self._executions[link].discard(task)
+        if not self._executions[link]:
+            del self._executions[link]
+
+    def _finish_in_background(self, running: execution.Execution) -> None:
+        cleanup = asyncio.ensure_future(running.finish())
+        self._cleanups.add(cleanup)
+        cleanup.add_done_callback(self._note_finished)
+
+    def _note_finished(self, cleanup: "asyncio.Task[None]") -> None:
+        self._cleanups.discard(cleanup)
+        self._open_count -= 1
+
+    async def _exchange(
+        self, stream: RunStream, running: execution.Execution
+    ) -> None:
+        sender = asyncio.ensure_future(self._send_frames(stream, running))
+        try:
+            await self._receive_frames(stream, running)
+        finally:
+            sender.cancel()
+            await asyncio.gather(sender, return_exceptions=True)
+
+    async def _send_frames(
+        self, stream: RunStream, running: execution.Execution
+    ) -> None:
+        while (frame := await running.next_frame()) is not None:
+            await stream.send_message(frame)
+
+    async def _receive_frames(
+        self, stream: RunStream, running: execution.Execution
+    ) -> None:
+        while (frame := await stream.recv_message()) is not None:
+            match frame.WhichOneof("frame"):
+                case "cancel":
+                    return
+                case "settled":
+                    running.settle(frame.settled.is_durable)
+                    return
+
+    async def Watch(self, stream: WatchStream) -> None:  # noqa: N802
+        """Exchange heartbeats until the connection ends or goes silent.
+
+        :param stream: the entry's heartbeats in, this agent's out.
+        """
+        link = _find_link(stream)
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    message = await stream.recv_message()
+                if message is None:
+                    break
+                self._take_heartbeat(message)
+                await stream.send_message(self._make_heartbeat())
+        except TimeoutError:
+            _LOGGER.info("entry went silent", extra={"peer": link})
+        finally:
+            for task in list(self._executions.get(link, ())):
+                task.cancel()
+
+    def _take_heartbeat(self, message: wire_pb2.Heartbeat) -> None:
+        self._follower.merge_contacts(
+            wire_codec.decode_contacts(message.contacts)
+        )
+
+    async def PushConfiguration(  # noqa: N802
+        self, stream: PushStream
+    ) -> None:
+        """Take configuration records from an entry that is ahead.
+
+        :param stream: records in, this agent's position out.
+        """
+        message = await stream.recv_message()
+        if message is not None:
+            self._follower.adopt(wire_codec.decode_records(message))
+        await stream.send_message(
+            wire_pb2.ConfigurationPosition(offset=self._follower.state.offset)
+        )
+
+    async def PullConfiguration(  # noqa: N802
+        self, stream: PullStream
+    ) -> None:
+        """Give configuration records to an entry that is behind.
+
+        :param stream: the entry's position in, records out.
+        """
+        message = await stream.recv_message()
+        offset = message.offset if message is not None else -1
+        found = self._follower.read_since(offset)
+        if found is None:
+            found = self._follower.read_all_kept()
+        await stream.send_message(wire_codec.encode_records(found))
+
+    async def FetchResult(self, stream: FetchStream) -> None:  # noqa: N802
+        """Give the result of a request that this agent claimed.
+
+        :param stream: the key in, the result out.
+        """
+        message = await stream.recv_message()
+        if message is None:
+            return
+        key = ledger.ClaimKey(
+            message.customer, message.service, message.idempotency_key
+        )
+        await stream.send_message(_encode_result(self._results.find(key)))
+
+
+def _find_link(stream: RunStream | WatchStream) -> str:
+    metadata = typing.cast(
+        "collections.abc.Mapping[str, str]", stream.metadata or {}
+    )
+    return str(metadata.get(LINK_METADATA_KEY, ""))
+
+
+def _encode_result(found: results.Result | None) -> wire_pb2.ResultReply:
+    if found is None:
+        return wire_pb2.ResultReply(outcome=wire_pb2.OUTCOME_UNKNOWN)
+    reply = wire_pb2.ResultReply(
+        outcome=wire_codec.encode_outcome(found.outcome),
+        running=found.is_running,
+        status=found.status,
+        body=found.body,
+        request_id=found.request_id,
+    )
+    if found.cost is not None:
+        reply.cost.CopyFrom(wire_codec.encode_cost(found.cost))
+    return reply
+
+
+def require_authentication(
+    server: grpclib.server.Server,
+    authenticator: auth.Authenticator,
+    counters: metrics.Metrics,
+) -> None:
+    """Refuse every call whose credential does not check.
+
+    :param server: the server.
+    :param authenticator: checks credentials.
+    :param counters: counts the refused calls.
+    """
+
+    async def check(event: grpclib.events.RecvRequest) -> None:
+        credential = event.metadata.get(auth.METADATA_KEY)
+        try:
+            authenticator.check(event.method_name, str(credential or ""))
+        except errors.SignatureError as error:
+            counters.count(metrics.Metric.PEERS_REFUSED)
+            raise grpclib.GRPCError(
+                grpclib.const.Status.UNAUTHENTICATED, "unknown peer"
+            ) from error
+
+    grpclib.events.listen(server, grpclib.events.RecvRequest, check)
--- /dev/null
+++ b/packages/wagtailstream-agent/wagtailstream_agent/plain_service.py
@@ -0,0 +1,85 @@
+"""Clients of the plain service beside the agent."""
+
+import abc
+import dataclasses
+
+from tornado import httpclient, simple_httpclient
+
+from wagtailstream_core import errors, work
+
+REQUEST_ID_HEADER = "Wagtail-Request-Id"
+_MAX_CLIENTS = 4096
+
+
+class NotSentError(errors.PeerError):
+    """The call never reached the service; nothing ran."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ServiceAnswer:
+    """A service's whole answer."""
+
+    status: int
+    body: bytes
+
+
+class Service(abc.ABC):
+    """Calls operations of a plain service."""
+
+    @abc.abstractmethod
+    async def call(
+        self, request_id: str, service_work: work.ServiceWork, seconds: float
+    ) -> ServiceAnswer:
+        """Call an operation once.
+
+        :param request_id: passed on in a header.
+        :param service_work: the operation and its body.
+        :param seconds: how long to wait for the answer.
+        :raises NotSentError: the service was not reached.
+        :raises errors.PeerError: no answer came; the call may have run.
+        """
+
+
+class HttpService(Service):
+    """Talks to a service over HTTP.
+
+    :param url: the service's base address.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_CLIENTS
+        )
+
+    async def call(
+        self, request_id: str, service_work: work.ServiceWork, seconds: float
+    ) -> ServiceAnswer:
+        """Call an operation once.
+
+        :param request_id: passed on in a header.
+        :param service_work: the operation and its body.
+        :param seconds: how long to wait for the answer.
+        :raises NotSentError: the service was not reached.
+        :raises errors.PeerError: no answer came; the call may have run.
+        """
+        has_body = service_work.method != "GET"
+        request = httpclient.HTTPRequest(
+            f"{self._url}/{service_work.operation}",
+            method=service_work.method,
+            body=service_work.body if has_body else None,
+            headers={
+                REQUEST_ID_HEADER: request_id,
+                "Content-Type": "application/json",
+            },
+            request_timeout=seconds,
+            connect_timeout=seconds,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except ConnectionRefusedError as error:
+            raise NotSentError("call", self._url, "refused") from error
+        except (httpclient.HTTPError, OSError) as error:
+            raise errors.PeerError("call", self._url, str(error)) from error
+        return ServiceAnswer(response.code, response.body)
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/assembly.py
@@ -0,0 +1,117 @@
+"""Reassembles an answer from chunks that may be late, repeated or stray."""
+
+import dataclasses
+import hashlib
+
+from wagtailstream_core import errors
+
+MAX_OUT_OF_ORDER_CHUNKS = 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Chunk:
+    """One piece of an answer.
+
+    :param sequence: its place in the whole answer, from 0.
+    """
+
+    request_id: str
+    attempt: int
+    sequence: int
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class EndMark:
+    """The end of an attempt's answer.
+
+    :param count: the number of chunks of the whole answer.
+    :param digest: SHA-256 over the chunks that the attempt sent.
+    """
+
+    request_id: str
+    attempt: int
+    count: int
+    digest: bytes
+
+
+class Assembler:
+    """Puts one answer together, on one version, over resumed attempts.
+
+    :param request_id: the request whose answer it is.
+    """
+
+    def __init__(self, request_id: str) -> None:
+        self._request_id = request_id
+        self._attempt = 0
+        self._next = 0
+        self._waiting: dict[int, bytes] = {}
+        self._digest = hashlib.sha256()
+        self._end: EndMark | None = None
+
+    @property
+    def position(self) -> int:
+        """How many chunks were released in order."""
+        return self._next
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole answer was released and its digest agrees."""
+        return self._end is not None and self._next == self._end.count
+
+    def start_attempt(self, attempt: int) -> int:
+        """Begin an attempt and return the position to resume from.
+
+        :param attempt: the attempt's number; chunks of others are dropped.
+        """
+        self._attempt = attempt
+        self._waiting.clear()
+        self._digest = hashlib.sha256()
+        self._end = None
+        return self._next
+
+    def add(self, chunk: Chunk) -> list[bytes]:
+        """Take in a chunk and return what can now be released, in order.
+
+        :param chunk: the chunk.
+        :raises errors.PeerError: too many chunks are missing before it, or
+            the answer's digest does not agree.
+        """
+        if not self._belongs(chunk.request_id, chunk.attempt):
+            return []
+        if chunk.sequence < self._next:
+            return []
+        self._waiting[chunk.sequence] = chunk.data
+        if len(self._waiting) > MAX_OUT_OF_ORDER_CHUNKS:
+            raise errors.PeerError("assemble", "agent", "too many gaps")
+        released = self._release()
+        self._check_end()
+        return released
+
+    def finish(self, end: EndMark) -> None:
+        """Take in the end mark; chunks may still be missing.
+
+        :param end: the end mark.
+        :raises errors.PeerError: the answer's digest does not agree.
+        """
+        if self._belongs(end.request_id, end.attempt):
+            self._end = end
+            self._check_end()
+
+    def _belongs(self, request_id: str, attempt: int) -> bool:
+        return request_id == self._request_id and attempt == self._attempt
+
+    def _release(self) -> list[bytes]:
+        released = []
+        while self._next in self._waiting:
+            data = self._waiting.pop(self._next)
+            self._digest.update(data)
+            released.append(data)
+            self._next += 1
+        return released
+
+    def _check_end(self) -> None:
+        if not self.is_complete or self._end is None:
+            return
+        if self._digest.digest() != self._end.digest:
+            raise errors.PeerError("assemble", "agent", "digest differs")
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/billing.py
@@ -0,0 +1,117 @@
+"""Bills: one a request, whoever appends it and however often.
+
+A bill holds the costs of a request's attempts, keyed by attempt. Several
+holders may append what they know of the same request; the fold joins the
+attempts and drops repeats, so that a customer sees one bill.
+"""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from wagtailstream_core import errors
+
+STREAM = "bills"
+
+
+class AttemptCost(pydantic.BaseModel):
+    """What one attempt used.
+
+    :param prompt_tokens: tokens of the prompt, cached ones included.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    attempt: int = pydantic.Field(ge=0)
+    endpoint: str
+    model: str = ""
+    version: str = ""
+    service: str = ""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    answer_tokens: int = 0
+
+
+class Bill(pydantic.BaseModel):
+    """The costs of a request as one holder knows them."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    customer: str
+    request_id: str
+    attempts: tuple[AttemptCost, ...]
+
+
+class BillBatch(pydantic.BaseModel):
+    """The bills that one append carries."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    bills: tuple[Bill, ...]
+
+
+def encode_batch(bills: typing.Sequence[Bill]) -> bytes:
+    """Return the bytes of one append.
+
+    :param bills: the bills, in any order.
+    """
+    return BillBatch(bills=tuple(bills)).model_dump_json().encode()
+
+
+def decode_batch(payload: bytes) -> tuple[Bill, ...]:
+    """Return the bills of one append.
+
+    :param payload: the bytes of a record of the bills stream.
+    :raises errors.WagtailstreamError: the payload is malformed.
+    """
+    try:
+        return BillBatch.model_validate_json(payload).bills
+    except pydantic.ValidationError as error:
+        raise errors.WagtailstreamError(
+            "decode", "bills stream", str(error)
+        ) from error
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class BillKey:
+    """What is billed once."""
+
+    customer: str
+    request_id: str
+
+
+class BillFold:
+    """The bills that all records so far fold into."""
+
+    def __init__(self) -> None:
+        self._attempts: dict[BillKey, dict[int, AttemptCost]] = {}
+
+    @property
+    def keys(self) -> tuple[BillKey, ...]:
+        """The requests that are billed, in the order first seen."""
+        return tuple(self._attempts)
+
+    def fold(self, bill: Bill) -> None:
+        """Take in a bill; an attempt known already stays as it was.
+
+        :param bill: the bill.
+        """
+        key = BillKey(bill.customer, bill.request_id)
+        attempts = self._attempts.setdefault(key, {})
+        for cost in bill.attempts:
+            attempts.setdefault(cost.attempt, cost)
+
+    def find_bill(self, key: BillKey) -> Bill | None:
+        """Return the joined bill of a request, or None.
+
+        :param key: the request.
+        """
+        attempts = self._attempts.get(key)
+        if attempts is None:
+            return None
+        return Bill(
+            customer=key.customer,
+            request_id=key.request_id,
+            attempts=tuple(attempts[n] for n in sorted(attempts)),
+        )
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/configuration.py
@@ -0,0 +1,389 @@
+"""The configuration: the fold of the records of the configuration stream.
+
+Every reader folds the same records in the same order and reaches the same
+state. The offset of the last record folded identifies the state; it only
+rises. Each record names the revision (the offset of the last accepted
+record) that it was based on, and is rejected once that is no longer current.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import typing
+
+import pydantic
+
+from wagtailstream_core import bundle, canonical, errors, records, signing
+
+NO_OFFSET = -1
+
+OptionalBundle = bundle.Bundle | None
+
+
+class Verdict(enum.Enum):
+    """What the fold decided on a record."""
+
+    ACCEPTED = "accepted"
+    BAD_SIGNATURE = "bad-signature"
+    MALFORMED = "malformed"
+    STALE_BASE = "stale-base"
+    NOT_PERMITTED = "not-permitted"
+    INVALID = "invalid"
+    IGNORED = "ignored"
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class ModelVersion:
+    """A version of a model."""
+
+    model: str
+    version: str
+
+    def __str__(self) -> str:
+        return f"{self.model}@{self.version}"
+
+
+@dataclasses.dataclass(frozen=True)
+class RolloutStage:
+    """How far a model's roll-out has come.
+
+    :param stage: the index into the bundle's stages.
+    """
+
+    model: str
+    candidate: str
+    stage: int
+
+
+@dataclasses.dataclass(frozen=True)
+class QuarantineEntry:
+    """A body digest that is refused until a Unix time."""
+
+    digest: str
+    until: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Proposal:
+    """A published bundle that waits for its approval."""
+
+    bundle: bundle.Bundle
+    digest: str
+    publisher: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Configuration:
+    """What is in force as of an offset of the configuration stream.
+
+    :param offset: the last record folded, accepted or not.
+    :param revision: the last accepted record.
+    """
+
+    offset: int = NO_OFFSET
+    revision: int = NO_OFFSET
+    bundle: OptionalBundle = None
+    proposal: Proposal | None = None
+    rollouts: tuple[RolloutStage, ...] = ()
+    withdrawn: frozenset[ModelVersion] = frozenset()
+    suspended: frozenset[ModelVersion] = frozenset()
+    quarantined: tuple[QuarantineEntry, ...] = ()
+
+    def is_stopped(self, model: str, version: str) -> bool:
+        """Return whether a version may take no new work.
+
+        :param model: the model's name.
+        :param version: the version's name.
+        """
+        wanted = ModelVersion(model, version)
+        return wanted in self.withdrawn or wanted in self.suspended
+
+    def find_stage(self, model: str, candidate: str) -> int:
+        """Return the index of the stage that a roll-out has reached.
+
+        :param model: the model's name.
+        :param candidate: the version that is rolled out.
+        """
+        for rollout in self.rollouts:
+            if (rollout.model, rollout.candidate) == (model, candidate):
+                return rollout.stage
+        return 0
+
+
+@dataclasses.dataclass(frozen=True)
+class LogRecord:
+    """A record as found in a stream of the log.
+
+    :param time: when the log took it, Unix seconds.
+    """
+
+    offset: int
+    payload: bytes
+    time: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Folded:
+    """The state after a record, and what was decided on it."""
+
+    configuration: Configuration
+    verdict: Verdict
+    detail: str = ""
+
+
+class _RejectedError(Exception):
+    def __init__(self, verdict: Verdict, detail: str) -> None:
+        super().__init__(detail)
+        self.verdict = verdict
+
+
+def fold(
+    state: Configuration, record: LogRecord, keyring: signing.Keyring
+) -> Folded:
+    """Return the state after one more record.
+
+    A record at or below the state's offset changes nothing, so repeats and
+    late deliveries are harmless.
+
+    :param state: the state so far.
+    :param record: the next record of the configuration stream.
+    :param keyring: the keys that are trusted.
+    """
+    if record.offset <= state.offset:
+        return Folded(state, Verdict.IGNORED, "already folded")
+    moved = dataclasses.replace(state, offset=record.offset)
+    try:
+        changed = _apply(moved, record, keyring)
+    except _RejectedError as error:
+        return Folded(moved, error.verdict, str(error))
+    if changed is moved:
+        return Folded(moved, Verdict.IGNORED)
+    if changed.quarantined != moved.quarantined:
+        # Quarantines commute with operators' changes: the revision stays.
+        return Folded(changed, Verdict.ACCEPTED)
+    return Folded(
+        dataclasses.replace(changed, revision=record.offset),
+        Verdict.ACCEPTED,
+    )
+
+
+def _apply(
+    state: Configuration, record: LogRecord, keyring: signing.Keyring
+) -> Configuration:
+    try:
+        verified = keyring.verify(record.payload)
+    except errors.SignatureError as error:
+        raise _RejectedError(Verdict.BAD_SIGNATURE, str(error)) from error
+    try:
+        body = records.decode(verified.body)
+    except errors.BundleError as error:
+        raise _RejectedError(Verdict.MALFORMED, str(error)) from error
+    if not verified.is_operator and body.kind not in records.FLEET_KINDS:
+        raise _RejectedError(
+            Verdict.NOT_PERMITTED, f"{body.kind} needs an operator's key"
+        )
+    if isinstance(body, records.Snapshot):
+        return state
+    if isinstance(body, records.Quarantine):
+        return _apply_quarantine(state, body, record.time)
+    if body.base != state.revision:
+        raise _RejectedError(
+            Verdict.STALE_BASE,
+            f"based on {body.base}, but {state.revision} is current",
+        )
+    return _apply_change(state, body, verified.key_id)
+
+
+def _apply_change(
+    state: Configuration, body: records.Record, key_id: str
+) -> Configuration:
+    match body:
+        case records.Publish():
+            return _apply_publish(state, body, key_id)
+        case records.Approve():
+            return _apply_approve(state, body, key_id)
+        case records.Advance():
+            return _apply_advance(state, body)
+        case records.Withdraw():
+            stopped = ModelVersion(body.model, body.version)
+            return dataclasses.replace(
+                state, withdrawn=state.withdrawn | {stopped}
+            )
+        case records.Suspend():
+            stopped = ModelVersion(body.model, body.version)
+            return dataclasses.replace(
+                state, suspended=state.suspended | {stopped}
+            )
+        case records.Reinstate():
+            lifted = ModelVersion(body.model, body.version)
+            if lifted not in state.suspended:
+                raise _RejectedError(
+                    Verdict.INVALID, f"{lifted} is not suspended"
+                )
+            return dataclasses.replace(
+                state, suspended=state.suspended - {lifted}
+            )
+        case _:
+            raise _RejectedError(Verdict.INVALID, f"unexpected {body.kind}")
+
+
+def _apply_quarantine(
+    state: Configuration, body: records.Quarantine, now: float
+) -> Configuration:
+    kept = tuple(
+        entry
+        for entry in state.quarantined
+        if entry.until > now and entry.digest != body.digest
+    )
+    return dataclasses.replace(
+        state, quarantined=(*kept, QuarantineEntry(body.digest, body.until))
+    )
+
+
+def _apply_publish(
+    state: Configuration, body: records.Publish, key_id: str
+) -> Configuration:
+    parsed = _parse_bundle(body.bundle)
+    problems = bundle.find_contradictions(parsed)
+    if problems:
+        raise _RejectedError(Verdict.INVALID, "; ".join(problems))
+    proposal = Proposal(parsed, canonical.digest(body.bundle), key_id)
+    return dataclasses.replace(state, proposal=proposal)
+
+
+def _parse_bundle(value: dict[str, typing.Any]) -> bundle.Bundle:
+    try:
+        return bundle.parse(value, "record")
+    except errors.BundleError as error:
+        raise _RejectedError(Verdict.INVALID, str(error)) from error
+
+
+def _apply_approve(
+    state: Configuration, body: records.Approve, key_id: str
+) -> Configuration:
+    proposal = state.proposal
+    if proposal is None or proposal.digest != body.digest:
+        raise _RejectedError(Verdict.INVALID, "no such proposal")
+    if proposal.publisher == key_id:
+        raise _RejectedError(
+            Verdict.NOT_PERMITTED, "the publisher may not sign off"
+        )
+    return dataclasses.replace(
+        state,
+        bundle=proposal.bundle,
+        proposal=None,
+        rollouts=_carry_rollouts(state, proposal.bundle),
+    )
+
+
+def _carry_rollouts(
+    state: Configuration, new: bundle.Bundle
+) -> tuple[RolloutStage, ...]:
+    """Keep the stage of each roll-out that the new bundle continues."""
+    return tuple(
+        RolloutStage(
+            model.name,
+            model.rollout.candidate,
+            min(
+                state.find_stage(model.name, model.rollout.candidate),
+                len(model.rollout.stages) - 1,
+            ),
+        )
+        for model in new.models
+        if model.rollout is not None
+    )
+
+
+def _apply_advance(
+    state: Configuration, body: records.Advance
+) -> Configuration:
+    model = state.bundle.find_model(body.model) if state.bundle else None
+    if model is None or model.rollout is None:
+        raise _RejectedError(Verdict.INVALID, f"no roll-out of {body.model}")
+    if model.rollout.candidate != body.candidate:
+        raise _RejectedError(
+            Verdict.INVALID, f"{body.candidate} is not the candidate"
+        )
+    current = state.find_stage(body.model, body.candidate)
+    if body.stage != current + 1:
+        raise _RejectedError(
+            Verdict.INVALID, f"stage {current} is followed by {current + 1}"
+        )
+    if body.stage >= len(model.rollout.stages):
+        raise _RejectedError(Verdict.INVALID, "the last stage is reached")
+    others = tuple(r for r in state.rollouts if r.model != body.model)
+    reached = RolloutStage(body.model, body.candidate, body.stage)
+    return dataclasses.replace(state, rollouts=(*others, reached))
+
+
+_STATE_ADAPTER: pydantic.TypeAdapter[Configuration] = pydantic.TypeAdapter(
+    Configuration
+)
+
+
+def dump_state(state: Configuration) -> dict[str, typing.Any]:
+    """Return a state as JSON types, for a snapshot record.
+
+    :param state: the state to write down.
+    """
+    dumped: dict[str, typing.Any] = _STATE_ADAPTER.dump_python(
+        state, mode="json"
+    )
+    return dumped
+
+
+def load_state(value: dict[str, typing.Any]) -> Configuration:
+    """Return the state that a snapshot holds.
+
+    :param value: what :func:`dump_state` returned.
+    :raises errors.BundleError: the value is no valid state.
+    """
+    try:
+        return _STATE_ADAPTER.validate_python(value)
+    except pydantic.ValidationError as error:
+        raise errors.BundleError("load state", "snapshot", str(error)) from (
+            error
+        )
+
+
+def restore(
+    log_records: collections.abc.Sequence[LogRecord],
+    first_retained: int,
+    keyring: signing.Keyring,
+) -> Configuration | None:
+    """Return the state of a reader that starts with nothing.
+
+    While the log still holds its first record, all of it is folded. After
+    that the newest snapshot whose later records are all retained is the
+    start; None where there is no such snapshot.
+
+    :param log_records: all retained records, in log order.
+    :param first_retained: the earliest offset that the log still holds.
+    :param keyring: the keys that are trusted.
+    """
+    start: Configuration | None = None
+    if first_retained == 0:
+        start = Configuration()
+    else:
+        for record in log_records:
+            start = _find_start(record, first_retained, keyring) or start
+    if start is None:
+        return None
+    for record in log_records:
+        start = fold(start, record, keyring).configuration
+    return start
+
+
+def _find_start(
+    record: LogRecord, first_retained: int, keyring: signing.Keyring
+) -> Configuration | None:
+    try:
+        body = records.decode(keyring.verify(record.payload).body)
+        if not isinstance(body, records.Snapshot):
+            return None
+        if not first_retained - 1 <= body.as_of < record.offset:
+            return None
+        state = load_state(body.state)
+    except (errors.SignatureError, errors.BundleError):
+        return None
+    return state if state.offset == body.as_of else None
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/idempotency.py
@@ -0,0 +1,63 @@
+"""Idempotency keys: UUIDs of version 7, whose age is part of them."""
+
+import uuid
+
+import expression
+
+from wagtailstream_core import clock, errors
+
+_UUID7_VERSION = 7
+_TIMESTAMP_SHIFT_BITS = 80
+_MILLISECONDS_PER_SECOND = 1000
+STEP = "idempotency"
+
+
+def check_key(
+    text: str, window_seconds: float, now: float, peer: str
+) -> expression.Result[float, errors.Refusal]:
+    """Return the Unix time within a key, or why it can't be taken.
+
+    :param text: the value of the Idempotency-Key header.
+    :param window_seconds: how old a key may be.
+    :param now: Unix time in seconds.
+    :param peer: the instance that checks, for the refusal.
+    """
+    if not text:
+        return expression.Error(
+            errors.not_run(
+                errors.Reason.IDEMPOTENCY_KEY_MISSING,
+                "this operation needs an Idempotency-Key: a new UUIDv7",
+                STEP,
+                peer,
+            )
+        )
+    key_time = _read_time(text)
+    if key_time is None or key_time > now + clock.MAX_CLOCK_SKEW_SECONDS:
+        return expression.Error(
+            errors.not_run(
+                errors.Reason.IDEMPOTENCY_KEY_INVALID,
+                "the Idempotency-Key is not a UUIDv7 of the present",
+                STEP,
+                peer,
+            )
+        )
+    if now - key_time > window_seconds:
+        return expression.Error(
+            errors.not_run(
+                errors.Reason.IDEMPOTENCY_KEY_STALE,
+                f"the Idempotency-Key is older than {window_seconds:.0f} s",
+                STEP,
+                peer,
+            )
+        )
+    return expression.Ok(key_time)
+
+
+def _read_time(text: str) -> float | None:
+    try:
+        value = uuid.UUID(text)
+    except ValueError:
+        return None
+    if value.version != _UUID7_VERSION or str(value) != text.lower():
+        return None
+    return (value.int >> _TIMESTAMP_SHIFT_BITS) / _MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/records.py
@@ -0,0 +1,121 @@
+"""The records of the configuration stream, validated at the border."""
+
+import typing
+
+import orjson
+import pydantic
+
+from wagtailstream_core import bundle, errors, signing
+
+STREAM = "config"
+
+
+class _Record(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    base: int = pydantic.Field(ge=-1)
+
+
+class Publish(_Record):
+    """Proposes a bundle; it is in force only once approved."""
+
+    kind: typing.Literal["publish"] = "publish"
+    bundle: dict[str, typing.Any]
+
+
+class Approve(_Record):
+    """Signs off the proposed bundle of a digest."""
+
+    kind: typing.Literal["approve"] = "approve"
+    digest: str
+
+
+class Advance(_Record):
+    """Moves a model's roll-out to a stage."""
+
+    kind: typing.Literal["advance"] = "advance"
+    model: bundle.Name
+    candidate: bundle.Name
+    stage: int = pydantic.Field(ge=0)
+
+
+class Withdraw(_Record):
+    """Withdraws a version for good."""
+
+    kind: typing.Literal["withdraw"] = "withdraw"
+    model: bundle.Name
+    version: bundle.Name
+
+
+class Suspend(_Record):
+    """Stops a version on evidence; an operator may reinstate it."""
+
+    kind: typing.Literal["suspend"] = "suspend"
+    model: bundle.Name
+    version: bundle.Name
+    evidence: str = pydantic.Field(max_length=500)
+
+
+class Reinstate(_Record):
+    """Lifts a version's suspension."""
+
+    kind: typing.Literal["reinstate"] = "reinstate"
+    model: bundle.Name
+    version: bundle.Name
+
+
+class Quarantine(_Record):
+    """Refuses requests of a body digest until a time."""
+
+    kind: typing.Literal["quarantine"] = "quarantine"
+    digest: str = pydantic.Field(pattern=r"^[0-9a-f]{64}$")
+    until: float
+
+
+class Snapshot(_Record):
+    """Repeats the whole configuration before retention drops it.
+
+    :param as_of: the offset of the last record folded into the state.
+    """
+
+    kind: typing.Literal["snapshot"] = "snapshot"
+    as_of: int = pydantic.Field(ge=-1)
+    state: dict[str, typing.Any]
+
+
+Record = typing.Annotated[
+    Publish
+    | Approve
+    | Advance
+    | Withdraw
+    | Suspend
+    | Reinstate
+    | Quarantine
+    | Snapshot,
+    pydantic.Field(discriminator="kind"),
+]
+_ADAPTER: pydantic.TypeAdapter[Record] = pydantic.TypeAdapter(Record)
+
+# The kinds that an instance may sign with the fleet's key.
+FLEET_KINDS = frozenset({"suspend", "quarantine", "snapshot", "advance"})
+
+
+def decode(body: dict[str, typing.Any]) -> Record:
+    """Return the record that a verified body holds.
+
+    :param body: the JSON object of an envelope.
+    :raises errors.BundleError: the body is no valid record.
+    """
+    try:
+        return _ADAPTER.validate_python(body)
+    except pydantic.ValidationError as error:
+        raise errors.BundleError("decode", "record", str(error)) from error
+
+
+def seal(record: Record, signer: signing.Signer) -> bytes:
+    """Return the signed bytes of a record, as they stand in the log.
+
+    :param record: the record.
+    :param signer: the signer that vouches for it.
+    """
+    return signing.seal(orjson.loads(record.model_dump_json()), signer)
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/versions.py
@@ -0,0 +1,112 @@
+"""Chooses the version of a model for a new or a running session."""
+
+import expression
+import xxhash
+
+from wagtailstream_core import bundle, configuration, errors
+
+STEP = "version"
+_HASH_RANGE = 2**64
+
+
+def find_share_position(seed: str, model: str) -> float:
+    """Return a session's fixed place in [0, 1) for a model's roll-out.
+
+    :param seed: the session's identifier.
+    :param model: the model's name.
+    """
+    return xxhash.xxh64_intdigest(f"{model}\0{seed}".encode()) / _HASH_RANGE
+
+
+def list_allowed(
+    state: configuration.Configuration,
+    customer: bundle.Customer,
+    model: bundle.ServedModel,
+) -> list[str]:
+    """Return a customer's live versions of a model, in bundle order.
+
+    :param state: the configuration in force.
+    :param customer: the customer.
+    :param model: the model.
+    """
+    allowance = customer.find_allowance(model.name)
+    if allowance is None:
+        return []
+    return [
+        version
+        for version in model.versions
+        if (not allowance.versions or version in allowance.versions)
+        and not state.is_stopped(model.name, version)
+    ]
+
+
+def choose_version(
+    state: configuration.Configuration,
+    customer: bundle.Customer,
+    model: bundle.ServedModel,
+    seed: str,
+    peer: str,
+) -> expression.Result[str, errors.Refusal]:
+    """Return the version on which a new session starts.
+
+    :param state: the configuration in force.
+    :param customer: the customer.
+    :param model: the model.
+    :param seed: the session's identifier, which spreads roll-out stages.
+    :param peer: the instance that decides, for the refusal.
+    """
+    allowed = list_allowed(state, customer, model)
+    rollout = model.rollout
+    if rollout is not None and rollout.candidate in allowed:
+        stage = state.find_stage(model.name, rollout.candidate)
+        share = rollout.stages[min(stage, len(rollout.stages) - 1)]
+        if find_share_position(seed, model.name) < share:
+            return expression.Ok(rollout.candidate)
+    if model.stable in allowed:
+        return expression.Ok(model.stable)
+    if allowed:
+        return expression.Ok(allowed[0])
+    return expression.Error(
+        errors.not_run(
+            errors.Reason.VERSION_WITHDRAWN,
+            f"no allowed version of {model.name} is in service",
+            STEP,
+            peer,
+        )
+    )
+
+
+def check_version(
+    state: configuration.Configuration,
+    customer: bundle.Customer,
+    model: bundle.ServedModel,
+    version: str,
+    peer: str,
+) -> expression.Result[str, errors.Refusal]:
+    """Return the version if the customer may start work on it now.
+
+    :param state: the configuration in force.
+    :param customer: the customer.
+    :param model: the model.
+    :param version: the version that a session or an entry names.
+    :param peer: the instance that decides, for the refusal.
+    """
+    if version in list_allowed(state, customer, model):
+        return expression.Ok(version)
+    if state.is_stopped(model.name, version):
+        return expression.Error(
+            errors.not_run(
+                errors.Reason.VERSION_WITHDRAWN,
+                f"{model.name}@{version} was withdrawn; start a new session",
+                STEP,
+                peer,
+            )
+        )
+    return expression.Error(
+        errors.not_run(
+            errors.Reason.MODEL_FORBIDDEN,
+            f"{customer.name} may not use {model.name}@{version}",
+            STEP,
+            peer,
+        )
+    )
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: authenticates, decides, dispatches, assembles."""
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -0,0 +1,297 @@
+"""Wires the entry together, serves, and shuts down gracefully."""
+
+import asyncio
+import logging
+import random
+import signal
+
+import uuid_utils
+from tornado import httpserver
+
+from wagtailstream_core import clock, freshness, wire_codec, wire_pb2
+from wagtailstream_entry import (
+    authenticate,
+    current,
+    deadline,
+    dispatch,
+    handlers,
+    limit,
+    links,
+    parse_chat,
+    pipeline,
+    rating,
+    responses,
+    resume_session,
+    run_model,
+    run_service,
+    settings,
+    settle,
+)
+from wagtailstream_platform import (
+    bill_outbox,
+    factory,
+    follower,
+    instance_list,
+    log_client,
+)
+
+DRAIN_POLL_SECONDS = 0.05
+FLUSH_LIMIT_SECONDS = 5.0
+MAX_HEADER_BYTES = 16384
+MAX_BUFFER_BYTES = 1048576
+# The handlers refuse earlier, with a typed error; this is the last bound.
+MAX_BODY_BYTES = 1 << 30
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Entry:
+    """One entry instance.
+
+    :param entry_settings: the validated settings.
+    """
+
+    def __init__(self, entry_settings: settings.EntrySettings) -> None:
+        self._settings = entry_settings
+        self._socket = factory.bind(entry_settings)
+        self._clock = clock.SystemClock()
+        self._metrics = factory.make_metrics(entry_settings)
+        platform = entry_settings.platform
+        self._log = log_client.HttpLogClient(str(platform.log))
+        self._follower = follower.Follower(
+            self._log,
+            entry_settings.load_keyring(),
+            entry_settings.data_centre,
+            self._clock,
+            self._metrics,
+        )
+        self._outbox = bill_outbox.BillOutbox(
+            self._log,
+            entry_settings.bill_buffer,
+            entry_settings.bill_window_seconds,
+            self._metrics,
+        )
+        self._table = links.LinkTable(
+            instance_list.HttpInstanceList(str(platform.instances)),
+            self._follower,
+            factory.make_authenticator(entry_settings),
+            self._clock,
+            self._make_heartbeat,
+            entry_settings.heartbeat_seconds,
+            entry_settings.refresh_seconds,
+        )
+        self._dispatcher = dispatch.Dispatcher(
+            self._table,
+            entry_settings.data_centre,
+            self._clock,
+            random.Random(),
+            self._metrics,
+            entry_settings.instance,
+        )
+        self._settle = settle.Settle(
+            self._outbox, self._clock, entry_settings.instance
+        )
+        self._open_requests: set[str] = set()
+        self._is_draining = False
+        self._sequence = 0
+        self._stop = asyncio.Event()
+
+    def _make_heartbeat(self) -> wire_pb2.Heartbeat:
+        self._sequence += 1
+        return wire_pb2.Heartbeat(
+            instance=self._settings.instance,
+            data_centre=self._settings.data_centre,
+            sequence=self._sequence,
+            configuration_offset=self._follower.state.offset,
+            draining=self._is_draining,
+            contacts=wire_codec.encode_contacts(self._follower.contacts),
+        )
+
+    def _make_rater(self) -> rating.Rater:
+        url = self._settings.platform.rating
+        return rating.HttpRater(str(url)) if url else rating.NoRater()
+
+    def _make_context(self) -> handlers.Context:
+        session_keys = self._settings.session_keys.load_session_keys()
+        peer = self._settings.instance
+        front = self._make_front()
+        limiter = limit.LimitCustomer(
+            lambda: self._table.entry_count, self._clock, peer
+        )
+        chat = pipeline.Pipeline(
+            [
+                *front,
+                parse_chat.ParseChat(peer),
+                resume_session.ResumeSession(
+                    session_keys, lambda: str(uuid_utils.uuid7().hex), peer
+                ),
+                limiter,
+                run_model.RunModel(
+                    self._dispatcher,
+                    self._follower,
+                    self._make_rater(),
+                    self._metrics,
+                    peer,
+                ),
+                self._settle,
+            ]
+        )
+        service = pipeline.Pipeline(
+            [
+                *front,
+                run_service.CheckOperation(peer),
+                limiter,
+                run_service.RunService(
+                    self._dispatcher, self._follower, self._clock, peer
+                ),
+                self._settle,
+            ]
+        )
+        return handlers.Context(
+            peer,
+            chat,
+            service,
+            self._follower,
+            session_keys,
+            self._metrics,
+            self._open_requests,
+            self._is_ready,
+            self._describe,
+        )
+
+    def _make_front(self) -> list[pipeline.Filter]:
+        peer = self._settings.instance
+        return [
+            authenticate.Authenticate(peer),
+            deadline.SetDeadline(peer),
+            current.CheckFreshness(
+                self._follower.judge,
+                lambda: self._is_draining,
+                lambda: self._outbox.is_full,
+                peer,
+            ),
+        ]
+
+    def _is_ready(self) -> bool:
+        return (
+            not self._is_draining
+            and self._follower.state.bundle is not None
+            and self._follower.judge() is not freshness.Freshness.CUT_OFF
+        )
+
+    def _describe(self) -> responses.Json:
+        state = self._follower.state
+        return {
+            "instance": self._settings.instance,
+            "role": "entry",
+            "data_centre": self._settings.data_centre,
+            "offset": state.offset,
+            "revision": state.revision,
+            "bundle": state.bundle.name if state.bundle else None,
+            "freshness": self._follower.judge().value,
+            "draining": self._is_draining,
+            "in_flight": len(self._open_requests),
+            "bills_waiting": self._outbox.waiting_count,
+            "withdrawn": [str(v) for v in sorted(state.withdrawn)],
+            "suspended": [str(v) for v in sorted(state.suspended)],
+            "rollouts": [
+                {
+                    "model": rollout.model,
+                    "candidate": rollout.candidate,
+                    "stage": rollout.stage,
+                }
+                for rollout in state.rollouts
+            ],
+            "counters": self._metrics.counts,
+            "agents": [
+                self._describe_link(link) for link in self._table.list_links()
+            ],
+        }
+
+    def _describe_link(self, link: links.AgentLink) -> responses.Json:
+        state = link.state
+        if state is None:
+            return {"address": link.address, "reachable": False}
+        return {
+            "address": link.address,
+            "instance": state.instance,
+            "endpoint": state.endpoint,
+            "data_centre": state.data_centre,
+            "reachable": not link.is_suspect,
+            "usable": link.is_usable,
+            "draining": state.is_draining,
+            "offset": state.configuration_offset,
+            "running": state.running,
+            "queued": state.queued,
+            "in_flight": link.in_flight,
+            "loaded": [str(v) for v in sorted(state.loaded)],
+        }
+
+    async def serve(self) -> None:
+        """Serve until SIGTERM or SIGINT, then shut down gracefully."""
+        loop = asyncio.get_running_loop()
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(signal_number, self._stop.set)
+        tasks = [
+            asyncio.ensure_future(coroutine)
+            for coroutine in (
+                self._follower.run(),
+                self._outbox.run(),
+                self._table.run(),
+            )
+        ]
+        server = httpserver.HTTPServer(
+            handlers.make_application(self._make_context()),
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            max_buffer_size=MAX_BUFFER_BYTES,
+        )
+        self._socket.listen(1024)
+        server.add_socket(self._socket)
+        print(f"listening {self._socket.getsockname()[1]}", flush=True)
+        await self._stop.wait()
+        await self._shut_down(server, tasks)
+
+    async def _shut_down(
+        self,
+        server: httpserver.HTTPServer,
+        tasks: "list[asyncio.Task[None]]",
+    ) -> None:
+        """Refuse new work, let what runs end, flush the bills, stop."""
+        self._is_draining = True
+        _LOGGER.info("draining", extra={"open": len(self._open_requests)})
+        await self._wait_idle()
+        server.stop()
+        await self._settle.wait_settled()
+        await self._flush()
+        self._table.close()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await server.close_all_connections()
+        _LOGGER.info("stopped")
+
+    async def _wait_idle(self) -> None:
+        try:
+            async with asyncio.timeout(self._settings.drain_seconds):
+                while self._open_requests:
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+                # The last answers are written after their requests end.
+                await asyncio.sleep(DRAIN_POLL_SECONDS)
+        except TimeoutError:
+            _LOGGER.warning(
+                "drain limit reached",
+                extra={"open": len(self._open_requests)},
+            )
+
+    async def _flush(self) -> None:
+        try:
+            async with asyncio.timeout(FLUSH_LIMIT_SECONDS):
+                while self._outbox.waiting_count:
+                    await self._outbox.flush()
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+        except TimeoutError:
+            _LOGGER.error(
+                "bills not durable at stop",
+                extra={"bills": self._outbox.waiting_count},
+            )
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/authenticate.py
@@ -0,0 +1,74 @@
+"""Finds the customer that an API key belongs to."""
+
+import hmac
+
+import expression
+
+from wagtailstream_core import bundle, errors
+from wagtailstream_entry import exchange, pipeline
+
+STEP = "authenticate"
+MAX_KEY_CHARACTERS = 256
+_SCHEME = "bearer "
+
+
+def find_customer(
+    authorization: str, known: bundle.Bundle
+) -> bundle.Customer | None:
+    """Return the customer of an Authorization header, or None.
+
+    Every hash is compared, each in constant time.
+
+    :param authorization: the header's value.
+    :param known: the bundle in force.
+    """
+    if not authorization.lower().startswith(_SCHEME):
+        return None
+    key = authorization[len(_SCHEME) :].strip()
+    if len(key) > MAX_KEY_CHARACTERS:
+        return None
+    digest = bundle.hash_key(key)
+    found = None
+    for customer in known.customers:
+        for key_hash in customer.key_hashes:
+            if hmac.compare_digest(digest, key_hash):
+                found = customer
+    return found
+
+
+class Authenticate(pipeline.Filter):
+    """Refuses requests without a known key.
+
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(self, peer: str) -> None:
+        self._peer = peer
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Set the request's customer.
+
+        :param request: the request.
+        """
+        known = request.configuration.bundle
+        if known is None:
+            return expression.Error(
+                errors.not_run(
+                    errors.Reason.NO_CONFIGURATION,
+                    "no bundle is in force yet",
+                    STEP,
+                    self._peer,
+                    request.received_at + 1.0,
+                )
+            )
+        request.customer = find_customer(request.authorization, known)
+        if request.customer is None:
+            return expression.Error(
+                errors.not_run(
+                    errors.Reason.UNAUTHENTICATED,
+                    "the API key is missing or unknown",
+                    STEP,
+                    self._peer,
+                )
+            )
+        return pipeline.PASSED
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -0,0 +1,290 @@
+"""Connections to one agent, each with its own heartbeats.
+
+An open connection can go silent for good while new ones work, so every
+connection is watched by itself, and is dropped and dialled anew before its
+endpoint is judged dead.
+"""
+
+import asyncio
+import collections.abc
+import contextlib
+import uuid
+
+import grpclib
+import grpclib.client
+import grpclib.exceptions
+
+from wagtailstream_core import errors, wire_codec, wire_grpc, wire_pb2, work
+from wagtailstream_platform import auth
+
+SILENCE_SECONDS = 3.0
+CALL_TIMEOUT_SECONDS = 3.0
+LINK_METADATA_KEY = "wagtail-link"
+_SERVICE = "/wagtailstream.Agent/"
+
+FAULTS = (
+    grpclib.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+    grpclib.exceptions.ProtocolError,
+    OSError,
+    asyncio.TimeoutError,
+)
+
+HeartbeatMaker = collections.abc.Callable[[], wire_pb2.Heartbeat]
+HeartbeatTaker = collections.abc.Callable[
+    ["Connection", wire_pb2.Heartbeat], None
+]
+
+
+class NotSentError(errors.PeerError):
+    """The attempt never left; nothing ran."""
+
+
+class Connection:
+    """One connection to an agent.
+
+    :param address: the agent's IP number and port.
+    :param authenticator: makes the credentials of calls.
+    """
+
+    def __init__(
+        self, address: str, authenticator: auth.Authenticator
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._authenticator = authenticator
+        self._channel = grpclib.client.Channel(host, int(port))
+        self._stub = wire_grpc.AgentStub(self._channel)
+        self._link = uuid.uuid4().hex
+        self._in_flight = 0
+        self._is_closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """How many runs this connection carries."""
+        return self._in_flight
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the connection was given up."""
+        return self._is_closed
+
+    def close(self) -> None:
+        """Give the connection up; its runs fail at once."""
+        if not self._is_closed:
+            self._is_closed = True
+            self._channel.close()
+
+    def _make_metadata(self, method: str) -> dict[str, str]:
+        metadata = self._authenticator.make_metadata(_SERVICE + method)
+        metadata[LINK_METADATA_KEY] = self._link
+        return metadata
+
+    async def watch(
+        self,
+        interval_seconds: float,
+        make_heartbeat: HeartbeatMaker,
+        take_heartbeat: HeartbeatTaker,
+    ) -> None:
+        """Exchange heartbeats until the connection fails or goes silent.
+
+        :param interval_seconds: the time between heartbeats.
+        :param make_heartbeat: returns this entry's present state.
+        :param take_heartbeat: takes the agent's state.
+        """
+        with contextlib.suppress(*FAULTS):
+            async with self._stub.Watch.open(
+                metadata=self._make_metadata("Watch")
+            ) as stream:
+                while True:
+                    async with asyncio.timeout(SILENCE_SECONDS):
+                        await stream.send_message(make_heartbeat())
+                        reply = await stream.recv_message()
+                    if reply is None:
+                        break
+                    take_heartbeat(self, reply)
+                    await asyncio.sleep(interval_seconds)
+        self.close()
+
+    async def push_configuration(
+        self, message: wire_pb2.ConfigurationRecords
+    ) -> int:
+        """Hand records to the agent and return the offset it holds then.
+
+        :param message: the records.
+        :raises errors.PeerError: the agent did not answer.
+        """
+        try:
+            reply = await self._stub.PushConfiguration(
+                message,
+                timeout=CALL_TIMEOUT_SECONDS,
+                metadata=self._make_metadata("PushConfiguration"),
+            )
+        except FAULTS as error:
+            raise errors.PeerError(
+                "push configuration", self._address, repr(error)
+            ) from error
+        return int(reply.offset)
+
+    async def pull_configuration(
+        self, offset: int
+    ) -> wire_pb2.ConfigurationRecords:
+        """Fetch the records after an offset.
+
+        :param offset: the offset that is held here.
+        :raises errors.PeerError: the agent did not answer.
+        """
+        try:
+            reply = await self._stub.PullConfiguration(
+                wire_pb2.ConfigurationPosition(offset=offset),
+                timeout=CALL_TIMEOUT_SECONDS,
+                metadata=self._make_metadata("PullConfiguration"),
+            )
+        except FAULTS as error:
+            raise errors.PeerError(
+                "pull configuration", self._address, repr(error)
+            ) from error
+        return reply
+
+    async def fetch_result(
+        self, request: wire_pb2.ResultRequest
+    ) -> wire_pb2.ResultReply:
+        """Fetch the result of a request that the agent claimed.
+
+        :param request: the key.
+        :raises errors.PeerError: the agent did not answer.
+        """
+        try:
+            reply = await self._stub.FetchResult(
+                request,
+                timeout=CALL_TIMEOUT_SECONDS,
+                metadata=self._make_metadata("FetchResult"),
+            )
+        except FAULTS as error:
+            raise errors.PeerError(
+                "fetch result", self._address, repr(error)
+            ) from error
+        return reply
+
+    async def open_run(self, attempt: work.Attempt) -> "Run":
+        """Send an attempt to the agent.
+
+        :param attempt: the attempt.
+        :raises NotSentError: the agent could not be reached.
+        :raises errors.PeerError: it could not be sent; the agent may have it.
+        """
+        run = Run(self, self._stub, self._address)
+        self._in_flight += 1
+        try:
+            await run.start(attempt, self._make_metadata("Run"))
+        except BaseException:
+            await run.close()
+            raise
+        return run
+
+    def note_run_closed(self) -> None:
+        """Count one run less."""
+        self._in_flight -= 1
+
+
+class Run:
+    """An attempt under way at an agent.
+
+    :param owner: the connection that carries it.
+    :param stub: the connection's stub.
+    :param address: the agent's address, for errors.
+    """
+
+    def __init__(
+        self, owner: Connection, stub: wire_grpc.AgentStub, address: str
+    ) -> None:
+        self._owner = owner
+        self._stub = stub
+        self._address = address
+        self._stack = contextlib.AsyncExitStack()
+        self._stream: (
+            grpclib.client.Stream[wire_pb2.RunFrame, wire_pb2.AnswerFrame]
+            | None
+        ) = None
+        self._is_closed = False
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the agent still holds the attempt's cost for us."""
+        return not self._is_closed and not self._owner.is_closed
+
+    async def start(
+        self, attempt: work.Attempt, metadata: dict[str, str]
+    ) -> None:
+        """Open the stream and send the attempt.
+
+        :param attempt: the attempt.
+        :param metadata: the call's credentials.
+        :raises NotSentError: the agent could not be reached.
+        :raises errors.PeerError: it could not be sent; the agent may have it.
+        """
+        stream = await self._stack.enter_async_context(
+            self._stub.Run.open(metadata=metadata)
+        )
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                await stream.send_request()
+        except FAULTS as error:
+            raise NotSentError(
+                "connect", self._address, repr(error)
+            ) from error
+        self._stream = stream
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                await stream.send_message(wire_codec.encode_attempt(attempt))
+        except FAULTS as error:
+            raise errors.PeerError(
+                "dispatch", self._address, repr(error)
+            ) from error
+
+    async def next_answer(self) -> wire_codec.Answer:
+        """Return the next part of the answer.
+
+        :raises errors.PeerError: the connection failed or the answer ended
+            without its end mark.
+        """
+        if self._stream is None:
+            raise errors.PeerError("receive", self._address, "not started")
+        try:
+            frame = await self._stream.recv_message()
+        except FAULTS as error:
+            raise errors.PeerError(
+                "receive", self._address, repr(error)
+            ) from error
+        if frame is None:
+            raise errors.PeerError("receive", self._address, "cut short")
+        return wire_codec.decode_answer(frame, self._address)
+
+    async def settle(self, is_durable: bool) -> None:
+        """Tell the agent that the bill is taken care of, and close.
+
+        :param is_durable: whether the log holds the bill.
+        """
+        if self._stream is not None and self.is_alive:
+            with contextlib.suppress(*FAULTS):
+                async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
+                    await self._stream.send_message(
+                        wire_pb2.RunFrame(
+                            settled=wire_pb2.Settled(is_durable=is_durable)
+                        ),
+                        end=True,
+                    )
+                    await self._stream.recv_trailing_metadata()
+        await self.close()
+
+    async def close(self) -> None:
+        """Cancel the attempt if it is still under way; the agent bills."""
+        if self._is_closed:
+            return
+        self._is_closed = True
+        self._owner.note_run_closed()
+        with contextlib.suppress(*FAULTS):
+            if self._stream is not None:
+                await self._stream.cancel()
+        with contextlib.suppress(*FAULTS, Exception):
+            await self._stack.aclose()
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/current.py
@@ -0,0 +1,67 @@
+"""Refuses new work while the configuration can't be trusted."""
+
+import collections.abc
+
+import expression
+
+from wagtailstream_core import errors, freshness
+from wagtailstream_entry import exchange, pipeline
+
+STEP = "freshness"
+RETRY_SECONDS = 5.0
+
+
+class CheckFreshness(pipeline.Filter):
+    """Refuses while this instance is cut off, draining or full of bills.
+
+    :param judge: tells how far the configuration may be trusted.
+    :param is_draining: tells whether this instance is shutting down.
+    :param is_billing_full: tells whether bills have no more room.
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(
+        self,
+        judge: collections.abc.Callable[[], freshness.Freshness],
+        is_draining: collections.abc.Callable[[], bool],
+        is_billing_full: collections.abc.Callable[[], bool],
+        peer: str,
+    ) -> None:
+        self._judge = judge
+        self._is_draining = is_draining
+        self._is_billing_full = is_billing_full
+        self._peer = peer
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Refuse what must not start now.
+
+        :param request: the request.
+        """
+        if self._is_draining():
+            return self._refuse(
+                request, errors.Reason.DRAINING, "this entry is draining"
+            )
+        if self._is_billing_full():
+            return self._refuse(
+                request,
+                errors.Reason.BILLING_FULL,
+                "too many bills wait for the log",
+            )
+        if self._judge() is freshness.Freshness.CUT_OFF:
+            return self._refuse(
+                request,
+                errors.Reason.CUT_OFF,
+                "this entry is cut off from the configuration",
+            )
+        return pipeline.PASSED
+
+    def _refuse(
+        self,
+        request: exchange.Exchange,
+        reason: errors.Reason,
+        message: str,
+    ) -> pipeline.Verdict:
+        retry_at = request.received_at + RETRY_SECONDS
+        return expression.Error(
+            errors.not_run(reason, message, STEP, self._peer, retry_at)
+        )
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/rating.py
@@ -0,0 +1,78 @@
+"""Clients of the service that rates answers."""
+
+import abc
+import dataclasses
+
+import orjson
+import pydantic
+from tornado import httpclient, simple_httpclient
+
+TIMEOUT_SECONDS = 1.0
+_MAX_CLIENTS = 256
+
+
+@dataclasses.dataclass(frozen=True)
+class Rated:
+    """An answer to be rated."""
+
+    request_id: str
+    model: str
+    version: str
+    prompt: str
+    answer: str
+    task: str
+
+
+class Rater(abc.ABC):
+    """Rates answers."""
+
+    @abc.abstractmethod
+    async def rate(self, rated: Rated) -> float | None:
+        """Return an answer's score from 0 to 1, or None if there is none.
+
+        :param rated: the answer.
+        """
+
+
+class NoRater(Rater):
+    """Rates nothing; where the platform has no rating service."""
+
+    async def rate(self, rated: Rated) -> float | None:
+        """Return None.
+
+        :param rated: the answer.
+        """
+        return None
+
+
+class _WireScore(pydantic.BaseModel):
+    score: float = pydantic.Field(ge=0, le=1)
+
+
+class HttpRater(Rater):
+    """Asks the platform's rating service.
+
+    :param url: the service's base address.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True, max_clients=_MAX_CLIENTS
+        )
+
+    async def rate(self, rated: Rated) -> float | None:
+        """Return an answer's score from 0 to 1, or None if there is none.
+
+        :param rated: the answer.
+        """
+        try:
+            response = await self._client.fetch(
+                f"{self._url}/ratings",
+                method="POST",
+                body=orjson.dumps(dataclasses.asdict(rated)),
+                request_timeout=TIMEOUT_SECONDS,
+            )
+            return _WireScore.model_validate_json(response.body).score
+        except (httpclient.HTTPError, OSError, pydantic.ValidationError):
+            return None
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/resume_session.py
@@ -0,0 +1,56 @@
+"""Reads the session token, or begins a session."""
+
+import collections.abc
+
+import expression
+
+from wagtailstream_core import errors, session
+from wagtailstream_entry import exchange, pipeline
+
+
+class ResumeSession(pipeline.Filter):
+    """Sets the session that a request goes on with.
+
+    :param keys: the keys that sign session tokens.
+    :param make_id: returns a new session identifier.
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(
+        self,
+        keys: session.SessionKeys,
+        make_id: collections.abc.Callable[[], str],
+        peer: str,
+    ) -> None:
+        self._keys = keys
+        self._make_id = make_id
+        self._peer = peer
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Set the request's session, if its token verifies.
+
+        :param request: the request.
+        """
+        request.session_id = self._make_id()
+        if not request.session_token or request.customer is None:
+            return pipeline.PASSED
+        read = session.read_token(
+            request.session_token,
+            request.customer.name,
+            self._keys,
+            self._peer,
+        )
+        if read.is_error():
+            return expression.Error(read.error)
+        if request.requested_model != read.ok.model:
+            return expression.Error(
+                errors.not_run(
+                    errors.Reason.SESSION_INVALID,
+                    f"the session is on {read.ok.model}",
+                    session.STEP,
+                    self._peer,
+                )
+            )
+        request.session = read.ok
+        request.session_id = read.ok.session_id
+        return pipeline.PASSED
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
@@ -0,0 +1,237 @@
+"""Runs a chat completion: the model, its version, and up the ladder."""
+
+import expression
+
+from wagtailstream_core import (
+    bundle,
+    configuration,
+    errors,
+    routing,
+    session,
+    versions,
+    work,
+)
+from wagtailstream_entry import dispatch, exchange, pipeline, rating
+from wagtailstream_platform import follower, metrics
+
+STEP = "plan"
+MAX_VERSION_CHOICES = 3
+
+
+class RunModel(pipeline.Filter):
+    """Dispatches a chat completion.
+
+    :param dispatcher: runs work.
+    :param config_follower: holds the configuration in force.
+    :param rater: rates answers, for ladders.
+    :param counters: takes the counts.
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        config_follower: follower.Follower,
+        rater: rating.Rater,
+        counters: metrics.Metrics,
+        peer: str,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._follower = config_follower
+        self._rater = rater
+        self._metrics = counters
+        self._peer = peer
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Run the model or ladder that the request names.
+
+        :param request: the request.
+        """
+        customer, known = request.customer, self._follower.state.bundle
+        if customer is None or known is None:
+            return expression.Error(self._refuse_unknown(request))
+        ladder = known.find_ladder(request.requested_model)
+        if ladder is not None and ladder.name in customer.ladders:
+            return await self._climb(request, ladder)
+        model = known.find_model(request.requested_model)
+        if model is None:
+            return expression.Error(self._refuse_unknown(request))
+        if customer.find_allowance(model.name) is None:
+            return expression.Error(
+                errors.not_run(
+                    errors.Reason.MODEL_FORBIDDEN,
+                    f"{customer.name} may not use {model.name}",
+                    STEP,
+                    self._peer,
+                )
+            )
+        return await self._run_model(request, model.name, request.sink)
+
+    def _refuse_unknown(self, request: exchange.Exchange) -> errors.Refusal:
+        return errors.not_run(
+            errors.Reason.MODEL_UNKNOWN,
+            f"there is no model {request.requested_model}",
+            STEP,
+            self._peer,
+        )
+
+    async def _climb(
+        self, request: exchange.Exchange, ladder: bundle.Ladder
+    ) -> pipeline.Verdict:
+        """Try the ladder's models, cheapest first, until one is good."""
+        for model in ladder.models[:-1]:
+            sink = exchange.BufferSink()
+            verdict = await self._run_model(request, model, sink)
+            if verdict.is_error():
+                return verdict
+            if await self._is_good(request, ladder, sink.content):
+                return await self._pass_on(request, sink)
+            self._metrics.count(metrics.Metric.ESCALATED, ladder.name)
+        return await self._run_model(request, ladder.models[-1], request.sink)
+
+    async def _is_good(
+        self,
+        request: exchange.Exchange,
+        ladder: bundle.Ladder,
+        answer: bytes,
+    ) -> bool:
+        score = await self._rater.rate(
+            rating.Rated(
+                request.request_id,
+                request.origin.model,
+                request.origin.version,
+                request.prompt,
+                answer.decode("utf-8", "replace"),
+                request.task,
+            )
+        )
+        if score is None:
+            return ladder.when_unrated == "accept"
+        return score >= ladder.quality_target
+
+    async def _pass_on(
+        self, request: exchange.Exchange, sink: exchange.BufferSink
+    ) -> pipeline.Verdict:
+        await request.sink.start(request)
+        await request.sink.write(sink.content)
+        return pipeline.PASSED
+
+    async def _run_model(
+        self,
+        request: exchange.Exchange,
+        name: str,
+        sink: exchange.AnswerSink,
+    ) -> pipeline.Verdict:
+        """Run one model; a version withdrawn meanwhile is chosen anew."""
+        guard = _StartGuard(sink)
+        for _ in range(MAX_VERSION_CHOICES):
+            chosen = self._choose_version(request, name)
+            if chosen.is_error():
+                return expression.Error(chosen.error)
+            outcome = await self._run_version(request, name, chosen.ok, guard)
+            if outcome.is_ok():
+                request.runs.append(outcome.ok.run)
+                return pipeline.PASSED
+            if not self._may_choose_anew(request, outcome.error, guard):
+                break
+        return expression.Error(outcome.error)
+
+    def _may_choose_anew(
+        self,
+        request: exchange.Exchange,
+        refusal: errors.Refusal,
+        guard: "_StartGuard",
+    ) -> bool:
+        return (
+            refusal.reason is errors.Reason.VERSION_WITHDRAWN
+            and request.session is None
+            and not guard.has_started
+        )
+
+    def _choose_version(
+        self, request: exchange.Exchange, name: str
+    ) -> expression.Result[str, errors.Refusal]:
+        state = self._follower.state
+        model = state.bundle.find_model(name) if state.bundle else None
+        customer = find_current_customer(state, request)
+        if model is None or customer is None:
+            return expression.Error(self._refuse_unknown(request))
+        pinned = request.session
+        if pinned is not None and pinned.model == name:
+            return versions.check_version(
+                state, customer, model, pinned.version, self._peer
+            )
+        return versions.choose_version(
+            state, customer, model, request.session_id, self._peer
+        )
+
+    async def _run_version(
+        self,
+        request: exchange.Exchange,
+        name: str,
+        version: str,
+        sink: exchange.AnswerSink,
+    ) -> dispatch.Outcome:
+        state = self._follower.state
+        customer = find_current_customer(state, request)
+        allowance = customer.find_allowance(name) if customer else None
+        if state.bundle is None or allowance is None:
+            return expression.Error(self._refuse_unknown(request))
+        request.origin = exchange.Origin(name, version)
+        target = dispatch.Target(
+            dispatch.find_model_endpoints(state.bundle, allowance),
+            configuration.ModelVersion(name, version),
+            routing.hash_prefix(request.prompt),
+        )
+
+        def make_work(position: int) -> work.ModelWork:
+            return work.ModelWork(
+                name, version, request.prompt, request.max_tokens, position
+            )
+
+        return await self._dispatcher.run(request, target, make_work, sink)
+
+
+class _StartGuard(exchange.AnswerSink):
+    """Notes whether the caller has seen a piece of the answer."""
+
+    def __init__(self, sink: exchange.AnswerSink) -> None:
+        self._sink = sink
+        self.has_started = False
+
+    async def start(self, exchange_: exchange.Exchange) -> None:
+        self.has_started = True
+        await self._sink.start(exchange_)
+
+    async def write(self, data: bytes) -> None:
+        await self._sink.write(data)
+
+
+def find_current_customer(
+    state: configuration.Configuration, request: exchange.Exchange
+) -> bundle.Customer | None:
+    """Return the request's customer as the newest bundle has it.
+
+    :param state: the configuration in force.
+    :param request: the request.
+    """
+    if state.bundle is None or request.customer is None:
+        return None
+    return state.bundle.find_customer(request.customer.name)
+
+
+def make_session(request: exchange.Exchange) -> session.Session | None:
+    """Return the session that the caller goes on with, or None.
+
+    :param request: a request that a model answered.
+    """
+    if request.customer is None or not request.origin.model:
+        return None
+    if request.requested_model != request.origin.model:
+        return None
+    return session.Session(
+        request.customer.name,
+        request.session_id,
+        request.origin.model,
+        request.origin.version,
+    )
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
@@ -0,0 +1,219 @@
+"""Runs an operation of a plain service."""
+
+import asyncio
+import hashlib
+
+import expression
+
+from wagtailstream_core import (
+    bundle,
+    clock,
+    errors,
+    idempotency,
+    wire_codec,
+    wire_pb2,
+    work,
+)
+from wagtailstream_entry import connection, dispatch, exchange, pipeline
+from wagtailstream_platform import follower
+
+STEP = "service"
+POLL_SECONDS = 0.05
+
+
+def derive_request_id(customer: str, service: str, key: str) -> str:
+    """Return the request identifier that all tries of a key share.
+
+    :param customer: the customer's name.
+    :param service: the service's name.
+    :param key: the idempotency key.
+    """
+    text = f"{customer}\0{service}\0{key.lower()}"
+    return hashlib.sha256(text.encode()).hexdigest()[:32]
+
+
+class CheckOperation(pipeline.Filter):
+    """Refuses operations that the customer may not call, or not so.
+
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(self, peer: str) -> None:
+        self._peer = peer
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Check the service, the operation and the idempotency key.
+
+        :param request: the request.
+        """
+        known, wanted = request.configuration.bundle, request.operation
+        customer = request.customer
+        if known is None or wanted is None or customer is None:
+            return self._refuse(errors.Reason.MALFORMED, "no operation")
+        if wanted.service not in customer.services:
+            return self._refuse(
+                errors.Reason.SERVICE_FORBIDDEN,
+                f"{customer.name} may not use {wanted.service}",
+            )
+        service = known.find_service(wanted.service)
+        operation = (
+            service.find_operation(wanted.operation) if service else None
+        )
+        if operation is None:
+            return self._refuse(
+                errors.Reason.SERVICE_FORBIDDEN,
+                f"{wanted.service} has no operation {wanted.operation}",
+            )
+        return self._check_key(request, wanted, operation, known)
+
+    def _check_key(
+        self,
+        request: exchange.Exchange,
+        wanted: work.ServiceWork,
+        operation: bundle.Operation,
+        known: bundle.Bundle,
+    ) -> pipeline.Verdict:
+        if operation.repeatable:
+            request.operation = work.ServiceWork(
+                wanted.service, wanted.operation, wanted.method, wanted.body
+            )
+            return pipeline.PASSED
+        checked = idempotency.check_key(
+            request.idempotency_key,
+            known.limits.claim_window_seconds,
+            request.received_at,
+            self._peer,
+        )
+        if checked.is_error():
+            return expression.Error(checked.error)
+        key = request.idempotency_key.lower()
+        request.operation = work.ServiceWork(
+            wanted.service,
+            wanted.operation,
+            wanted.method,
+            wanted.body,
+            key,
+        )
+        name = request.customer.name if request.customer else ""
+        request.request_id = derive_request_id(name, wanted.service, key)
+        return pipeline.PASSED
+
+    def _refuse(self, reason: errors.Reason, message: str) -> pipeline.Verdict:
+        return expression.Error(
+            errors.not_run(reason, message, STEP, self._peer)
+        )
+
+
+class RunService(pipeline.Filter):
+    """Dispatches an operation; fetches the answer where another try won.
+
+    :param dispatcher: runs work.
+    :param config_follower: holds the configuration in force.
+    :param system_clock: tells the time.
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        config_follower: follower.Follower,
+        system_clock: clock.Clock,
+        peer: str,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._follower = config_follower
+        self._clock = system_clock
+        self._peer = peer
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Run the request's operation.
+
+        :param request: the request.
+        """
+        wanted, known = request.operation, self._follower.state.bundle
+        if wanted is None or known is None:
+            return expression.Error(
+                errors.not_run(
+                    errors.Reason.MALFORMED, "no operation", STEP, self._peer
+                )
+            )
+        target = dispatch.Target(
+            dispatch.find_service_endpoints(known, wanted.service), None, 0
+        )
+        outcome = await self._dispatcher.run(
+            request, target, lambda _: wanted, request.sink
+        )
+        if outcome.is_ok():
+            request.runs.append(outcome.ok.run)
+            return pipeline.PASSED
+        if outcome.error.reason is errors.Reason.CLAIM_LOST:
+            return await self._fetch(request, wanted, outcome.error)
+        return expression.Error(outcome.error)
+
+    async def _fetch(
+        self,
+        request: exchange.Exchange,
+        wanted: work.ServiceWork,
+        lost: errors.Refusal,
+    ) -> pipeline.Verdict:
+        """Fetch the answer from the agent that holds the winning claim."""
+        query = wire_pb2.ResultRequest(
+            customer=request.customer.name if request.customer else "",
+            service=wanted.service,
+            idempotency_key=wanted.idempotency_key,
+        )
+        try:
+            reply = await self._poll(request, query, lost.winner)
+        except errors.PeerError:
+            return self._refuse_unknown("the try that holds the key is gone")
+        match wire_codec.decode_outcome(reply.outcome):
+            case errors.Outcome.COMPLETED:
+                return await self._pass_on(request, reply)
+            case errors.Outcome.NOT_RUN:
+                return expression.Error(
+                    errors.not_run(
+                        errors.Reason.CLAIM_ABANDONED,
+                        "the try that held the key gave up before it ran",
+                        STEP,
+                        self._peer,
+                        self._clock.wall() + dispatch.RETRY_SECONDS,
+                    )
+                )
+        return self._refuse_unknown("whether the first try ran is not known")
+
+    def _refuse_unknown(self, message: str) -> pipeline.Verdict:
+        return expression.Error(
+            errors.unknown(errors.Reason.CLAIM_LOST, message, STEP, self._peer)
+        )
+
+    async def _poll(
+        self,
+        request: exchange.Exchange,
+        query: wire_pb2.ResultRequest,
+        winner: str,
+    ) -> wire_pb2.ResultReply:
+        while True:
+            reply = await self._ask(query, winner)
+            is_late = self._clock.wall() + POLL_SECONDS >= request.deadline
+            if not reply.running or is_late:
+                return reply
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _ask(
+        self, query: wire_pb2.ResultRequest, winner: str
+    ) -> wire_pb2.ResultReply:
+        link = self._dispatcher.table.find_link(winner)
+        if link is None:
+            raise errors.PeerError("fetch result", winner, "not known")
+        source: connection.Connection = link.pick_any()
+        return await source.fetch_result(query)
+
+    async def _pass_on(
+        self, request: exchange.Exchange, reply: wire_pb2.ResultReply
+    ) -> pipeline.Verdict:
+        request.status = reply.status
+        request.costs.append(wire_codec.decode_cost(reply.cost))
+        request.origin = exchange.Origin(endpoint=reply.cost.endpoint)
+        await request.sink.start(request)
+        await request.sink.write(reply.body)
+        return pipeline.PASSED
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settle.py
@@ -0,0 +1,87 @@
+"""Makes the bill, and lets the answer's end go only once it is safe."""
+
+import asyncio
+
+import expression
+
+from wagtailstream_core import billing, clock, errors
+from wagtailstream_entry import exchange, pipeline
+from wagtailstream_platform import bill_outbox
+
+STEP = "settle"
+DURABLE_WAIT_SECONDS = 0.5
+
+
+class Settle(pipeline.Filter):
+    """Bills a request.
+
+    The end of the answer is released once the log holds the bill or, while
+    the log is slow or down, once both this entry and an agent hold it.
+
+    :param outbox: holds bills until they are durable.
+    :param system_clock: tells the time.
+    :param peer: this instance's name, for refusals.
+    """
+
+    def __init__(
+        self,
+        outbox: bill_outbox.BillOutbox,
+        system_clock: clock.Clock,
+        peer: str,
+    ) -> None:
+        self._outbox = outbox
+        self._clock = system_clock
+        self._peer = peer
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
+        """Bill the request.
+
+        :param request: a request whose answer is complete but for its end.
+        """
+        if not request.costs:
+            return pipeline.PASSED
+        durable = self._outbox.add(
+            billing.Bill(
+                customer=request.customer.name if request.customer else "",
+                request_id=request.request_id,
+                attempts=tuple(request.costs),
+            )
+        )
+        is_durable = await self._wait(durable, DURABLE_WAIT_SECONDS)
+        if not is_durable and not any(run.is_alive for run in request.runs):
+            remaining = request.deadline - self._clock.wall()
+            is_durable = await self._wait(durable, max(0.0, remaining))
+            if not is_durable:
+                return self._refuse()
+        self._settle_in_background(request, is_durable)
+        return pipeline.PASSED
+
+    async def _wait(
+        self, durable: "asyncio.Future[None]", seconds: float
+    ) -> bool:
+        done, _ = await asyncio.wait([durable], timeout=seconds)
+        return bool(done)
+
+    def _refuse(self) -> pipeline.Verdict:
+        return expression.Error(
+            errors.unknown(
+                errors.Reason.BILLING_FULL,
+                "the request ran, but its bill could not be made safe",
+                STEP,
+                self._peer,
+            )
+        )
+
+    def _settle_in_background(
+        self, request: exchange.Exchange, is_durable: bool
+    ) -> None:
+        for run in request.runs:
+            task = asyncio.ensure_future(run.settle(is_durable))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        request.runs.clear()
+
+    async def wait_settled(self) -> None:
+        """Wait until all agents were told."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/wagtailstream-platform/wagtailstream_platform/factory.py
@@ -0,0 +1,41 @@
+"""Makes what both binaries need from their settings."""
+
+import socket
+
+from wagtailstream_platform import auth, metrics, settings
+
+
+def make_metrics(loaded: settings.Common) -> metrics.Metrics:
+    """Return metrics that go where the settings say.
+
+    :param loaded: the validated settings.
+    """
+    target = loaded.statsd
+    if target is None:
+        return metrics.MemoryMetrics()
+    return metrics.StatsdMetrics(str(target.host), target.port, target.prefix)
+
+
+def make_authenticator(loaded: settings.Common) -> auth.Authenticator:
+    """Return what authenticates calls between instances.
+
+    :param loaded: the validated settings.
+    :raises errors.SettingsError: a secret can't be loaded.
+    """
+    return auth.Authenticator(
+        loaded.fleet_keys.signing, loaded.fleet_keys.load()
+    )
+
+
+def bind(loaded: settings.Common) -> socket.socket:
+    """Return a socket bound to the settings' address; port 0 picks one.
+
+    :param loaded: the validated settings.
+    :raises OSError: the address can't be bound.
+    """
+    family = socket.AF_INET6 if loaded.host.version == 6 else socket.AF_INET
+    bound = socket.socket(family, socket.SOCK_STREAM)
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((str(loaded.host), loaded.port))
+    bound.setblocking(False)
+    return bound
--- /dev/null
+++ b/packages/wagtailstream-platform/wagtailstream_platform/instance_list.py
@@ -0,0 +1,111 @@
+"""The platform's list of live and leaving instances: a hint, which lags."""
+
+import abc
+import dataclasses
+import typing
+
+import pydantic
+from tornado import httpclient, simple_httpclient
+
+from wagtailstream_core import errors
+
+TIMEOUT_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Instance:
+    """An instance as the platform lists it.
+
+    :param address: IP number and port.
+    :param is_leaving: whether the platform is about to stop it.
+    """
+
+    id: str
+    role: str
+    address: str
+    data_centre: str
+    endpoint: str
+    is_leaving: bool
+
+
+class InstanceList(abc.ABC):
+    """Lists the instances that the platform knows of."""
+
+    @abc.abstractmethod
+    async def fetch(self) -> list[Instance]:
+        """Return the listed instances.
+
+        :raises errors.PeerError: the list did not answer.
+        """
+
+
+class MemoryInstanceList(InstanceList):
+    """A list that a test or an experiment sets.
+
+    :param instances: what the list holds.
+    """
+
+    def __init__(self, instances: list[Instance]) -> None:
+        self.instances = instances
+
+    async def fetch(self) -> list[Instance]:
+        """Return the listed instances."""
+        return list(self.instances)
+
+
+class _WireInstance(pydantic.BaseModel):
+    id: str
+    role: str
+    address: str
+    data_centre: str
+    endpoint: str = ""
+    state: typing.Literal["live", "leaving"]
+
+
+class _WireList(pydantic.BaseModel):
+    instances: tuple[_WireInstance, ...]
+
+
+class HttpInstanceList(InstanceList):
+    """Asks the platform over HTTP.
+
+    :param url: the list's base address.
+    """
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+            force_instance=True
+        )
+
+    async def fetch(self) -> list[Instance]:
+        """Return the listed instances.
+
+        :raises errors.PeerError: the list did not answer.
+        """
+        try:
+            response = await self._client.fetch(
+                f"{self._url}/instances",
+                request_timeout=TIMEOUT_SECONDS,
+                connect_timeout=TIMEOUT_SECONDS,
+            )
+            wire = _WireList.model_validate_json(response.body)
+        except (
+            httpclient.HTTPError,
+            OSError,
+            pydantic.ValidationError,
+        ) as error:
+            raise errors.PeerError(
+                "list instances", self._url, str(error)
+            ) from error
+        return [
+            Instance(
+                item.id,
+                item.role,
+                item.address,
+                item.data_centre,
+                item.endpoint,
+                item.state == "leaving",
+            )
+            for item in wire.instances
+        ]
--- /dev/null
+++ b/packages/wagtailstream-platform/wagtailstream_platform/settings.py
@@ -0,0 +1,241 @@
+"""Settings in YAML, validated before anything starts."""
+
+import base64
+import binascii
+import os
+import pathlib
+import typing
+
+import pydantic
+import yaml
+
+from wagtailstream_core import errors, session, signing
+
+MIN_SECRET_BYTES = 16
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+
+
+class Section(pydantic.BaseModel):
+    """A part of the settings; unknown keys are refused."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Secret(Section):
+    """A secret, from a file or an environment variable, never inline.
+
+    :param file: a file that holds the secret in base64.
+    :param environment: a variable that holds the secret in base64.
+    """
+
+    file: pathlib.Path | None = None
+    environment: str | None = None
+
+    @pydantic.model_validator(mode="after")
+    def _check_one_source(self) -> "Secret":
+        if (self.file is None) == (self.environment is None):
+            raise ValueError("needs either file or environment")
+        return self
+
+    def load(self) -> bytes:
+        """Return the secret's bytes.
+
+        :raises errors.SettingsError: it is missing, malformed or too short.
+        """
+        source = str(self.file or self.environment)
+        try:
+            raw = base64.b64decode(self._read_text().strip(), validate=True)
+        except (OSError, KeyError, binascii.Error) as error:
+            raise errors.SettingsError(
+                "load secret", source, f"can't be read: {error}"
+            ) from error
+        if len(raw) < MIN_SECRET_BYTES:
+            raise errors.SettingsError(
+                "load secret", source, f"shorter than {MIN_SECRET_BYTES} bytes"
+            )
+        return raw
+
+    def _read_text(self) -> str:
+        if self.file is not None:
+            return self.file.read_text()
+        return os.environ[str(self.environment)]
+
+
+class Keys(Section):
+    """Keys by identifier, the one that signs first named.
+
+    :param signing: the identifier of the key that signs.
+    :param keys: all keys that are accepted.
+    """
+
+    signing: str
+    keys: dict[str, Secret]
+
+    @pydantic.model_validator(mode="after")
+    def _check_signing(self) -> "Keys":
+        if self.signing not in self.keys:
+            raise ValueError(f"signing key {self.signing} is not among keys")
+        return self
+
+    def load(self) -> dict[str, bytes]:
+        """Return all keys' bytes by identifier.
+
+        :raises errors.SettingsError: a secret can't be loaded.
+        """
+        return {name: secret.load() for name, secret in self.keys.items()}
+
+    def load_session_keys(self) -> session.SessionKeys:
+        """Return the keys as session keys.
+
+        :raises errors.SettingsError: a secret can't be loaded.
+        """
+        return session.SessionKeys(self.signing, self.load())
+
+
+def _check_operator_keys(value: dict[str, str]) -> dict[str, str]:
+    for name, text in value.items():
+        try:
+            raw = base64.b64decode(text, validate=True)
+        except binascii.Error as error:
+            raise ValueError(f"{name} is not base64") from error
+        if len(raw) != signing.FLEET_KEY_BYTES:
+            raise ValueError(f"{name} is not an Ed25519 public key")
+    return value
+
+
+OperatorKeys = typing.Annotated[
+    dict[str, str],
+    pydantic.Field(min_length=1),
+    pydantic.AfterValidator(_check_operator_keys),
+]
+
+
+def make_keyring(
+    operator_keys: dict[str, str], fleet_keys: Keys
+) -> signing.Keyring:
+    """Return the keys that readers of the configuration trust.
+
+    :param operator_keys: base64 Ed25519 public keys by identifier.
+    :param fleet_keys: the keys that instances share.
+    :raises errors.SettingsError: a secret can't be loaded.
+    """
+    operators = {
+        name: base64.b64decode(text) for name, text in operator_keys.items()
+    }
+    return signing.Keyring(operators, fleet_keys.load())
+
+
+class Statsd(Section):
+    """Where metrics go."""
+
+    host: pydantic.IPvAnyAddress
+    port: Port = 8125
+    prefix: str = "wagtailstream"
+
+
+class Platform(Section):
+    """The addresses of the platform's services."""
+
+    log: pydantic.HttpUrl
+    instances: pydantic.HttpUrl
+    rating: pydantic.HttpUrl | None = None
+
+
+class Common(Section):
+    """What entry and agent share.
+
+    :param instance: this instance's unique name.
+    :param operator_keys: base64 Ed25519 public keys by identifier.
+    :param drain_seconds: how long a graceful shutdown may take.
+    """
+
+    instance: str = pydantic.Field(min_length=1, max_length=64)
+    data_centre: str = pydantic.Field(min_length=1, max_length=64)
+    host: pydantic.IPvAnyAddress
+    port: Port
+    platform: Platform
+    operator_keys: OperatorKeys
+    fleet_keys: Keys
+    statsd: Statsd | None = None
+    log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
+    drain_seconds: float = pydantic.Field(default=30.0, gt=0, le=3600)
+    bill_buffer: int = pydantic.Field(default=10000, ge=1)
+    bill_window_seconds: float = pydantic.Field(default=0.02, ge=0, le=5)
+
+    def load_keyring(self) -> signing.Keyring:
+        """Return the keys that the configuration's readers trust.
+
+        :raises errors.SettingsError: a secret can't be loaded.
+        """
+        return make_keyring(self.operator_keys, self.fleet_keys)
+
+    def load_fleet_signer(self) -> signing.FleetSigner:
+        """Return the signer for records that instances append.
+
+        :raises errors.SettingsError: the secret can't be loaded.
+        """
+        keys = self.fleet_keys.load()
+        return signing.FleetSigner(
+            self.fleet_keys.signing, keys[self.fleet_keys.signing]
+        )
+
+
+SettingsT = typing.TypeVar("SettingsT", bound=Section)
+
+
+def load(path: pathlib.Path, kind: type[SettingsT]) -> SettingsT:
+    """Return the validated settings of a file.
+
+    :param path: the YAML file.
+    :param kind: the settings' class.
+    :raises errors.SettingsError: with the file, line, key and reason.
+    """
+    try:
+        text = path.read_text()
+        node = yaml.compose(text, Loader=yaml.SafeLoader)
+        value = yaml.safe_load(text)
+    except (OSError, yaml.YAMLError) as error:
+        raise errors.SettingsError(
+            "load settings", str(path), str(error)
+        ) from error
+    try:
+        return kind.model_validate(value)
+    except pydantic.ValidationError as error:
+        problems = [
+            _describe(path, node, item["loc"], item["msg"])
+            for item in error.errors()
+        ]
+        raise errors.SettingsError(
+            "check settings", str(path), "\n".join(problems)
+        ) from error
+
+
+def _describe(
+    path: pathlib.Path,
+    node: yaml.Node | None,
+    location: tuple[int | str, ...],
+    reason: str,
+) -> str:
+    key = ".".join(str(part) for part in location) or "(top)"
+    return f"{path}:{_find_line(node, location)}: {key}: {reason}"
+
+
+def _find_line(node: yaml.Node | None, location: tuple[int | str, ...]) -> int:
+    line = 1
+    for part in location:
+        found = _find_child(node, part)
+        if found is None:
+            break
+        node = found
+        line = found.start_mark.line + 1
+    return line
+
+
+def _find_child(node: yaml.Node | None, part: int | str) -> yaml.Node | None:
+    if isinstance(node, yaml.MappingNode):
+        for key, value in node.value:
+            if key.value == str(part):
+                return typing.cast(yaml.Node, value)
+    if isinstance(node, yaml.SequenceNode) and part in range(len(node.value)):
+        return typing.cast(yaml.Node, node.value[int(part)])
+    return None
--- /dev/null
+++ b/standins/answers.py
@@ -0,0 +1,45 @@
+"""Deterministic answers of the model engine."""
+
+import re
+
+import xxhash
+
+GARBLED = "garbled"
+MIN_TOKENS = 8
+TOKEN_SPREAD = 25
+WORDS = (
+    "harbour", "tide", "ledger", "sheet", "draft", "north", "signal",
+    "copper", "river", "stone", "window", "paper", "morning", "field",
+    "anchor", "market",
+)  # fmt: skip
+
+_TOKENS_MARKER = re.compile(r"\[tokens=(\d+)\]")
+
+
+def count(prompt: str, max_tokens: int) -> int:
+    """Return the number of tokens of the whole answer."""
+    marker = _TOKENS_MARKER.search(prompt)
+    if marker:
+        return min(max_tokens, int(marker.group(1)))
+    spread = xxhash.xxh64_intdigest(prompt.encode()) % TOKEN_SPREAD
+    return min(max_tokens, MIN_TOKENS + spread)
+
+
+def token(
+    model: str, version: str, prompt: str, index: int, garbled: bool
+) -> str:
+    """Return one token; the first carries the model and version."""
+    text = f"{model}\0{version}\0{prompt}\0{index}"
+    word = WORDS[xxhash.xxh64_intdigest(text.encode()) % len(WORDS)]
+    if garbled:
+        word = f"{GARBLED}-{word}"
+    prefix = f"{model}@{version}:" if index == 0 else ""
+    return f"{prefix}{word} "
+
+
+def below_quality(
+    model: str, version: str, prompt: str, quality: float
+) -> bool:
+    """Return whether an answer is one of the bad share of a version."""
+    text = f"quality\0{model}\0{version}\0{prompt}"
+    return xxhash.xxh64_intdigest(text.encode()) / 2**64 >= quality
--- /dev/null
+++ b/standins/batch.py
@@ -0,0 +1,165 @@
+"""Continuous batching: queue, slots and the shared step loop."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import heapq
+import itertools
+import os
+import time
+
+import pydantic
+
+import standins.answers as answers
+import standins.prefix_cache as prefix_cache
+
+CRASH_MARKER = "[crash]"
+PREFILL_SECONDS_PER_TOKEN = 10e-6
+MAX_PENDING_STEPS = 10
+
+
+class GenerateRequest(pydantic.BaseModel):
+    """A request to generate an answer."""
+
+    request_id: str
+    attempt: int = 0
+    model: str
+    version: str
+    prompt: str
+    max_tokens: int
+    resume_from: int = 0
+    priority: int = 0
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """A request in the queue or in a slot."""
+
+    request: GenerateRequest
+    count: int
+    garbled: bool = False
+    state: str = "queued"
+    next_index: int = 0
+    ready_at: float = 0.0
+    cached_tokens: int = 0
+    indexes: asyncio.Queue[int | None] = dataclasses.field(
+        default_factory=asyncio.Queue
+    )
+
+
+class Batch:
+    """Runs all requests, one token each in a step."""
+
+    def __init__(
+        self, slots: int, changed: collections.abc.Callable[[], None]
+    ) -> None:
+        self.slots = slots
+        self.token_seconds = 0.0
+        self.frozen = False
+        self.cache = prefix_cache.PrefixCache()
+        self.running: list[Run] = []
+        self.started: list[Run] = []
+        self._queue: list[tuple[int, int, Run]] = []
+        self._order = itertools.count()
+        self._changed = changed
+        self._wakeup = asyncio.Event()
+        self._loop: asyncio.Task[None] | None = None
+
+    @property
+    def queued(self) -> int:
+        """The number of requests that wait for a slot."""
+        return sum(entry[2].state == "queued" for entry in self._queue)
+
+    def submit(self, run: Run) -> None:
+        """Queue a request; a higher priority goes first."""
+        entry = (-run.request.priority, next(self._order), run)
+        heapq.heappush(self._queue, entry)
+        if self._loop is None:
+            self._loop = asyncio.create_task(self._step_forever())
+        self._changed()
+        self.wake()
+
+    def cancel(self, run: Run) -> None:
+        """Cancel a request unless it has ended."""
+        if run.state in ("queued", "running"):
+            self._end(run, "cancelled")
+
+    def cancel_request(self, request_id: str) -> int:
+        """Cancel all attempts of a request; return how many."""
+        queued = [entry[2] for entry in self._queue]
+        matching = [
+            run
+            for run in queued + self.running
+            if run.request.request_id == request_id
+            and run.state != "cancelled"
+        ]
+        for run in matching:
+            self.cancel(run)
+        return len(matching)
+
+    def wake(self) -> None:
+        """Wake the step loop."""
+        self._wakeup.set()
+
+    async def _step_forever(self) -> None:
+        step_at = time.monotonic()
+        while True:
+            if self.frozen or not (self.running or self._queue):
+                self._wakeup.clear()
+                await self._wakeup.wait()
+                step_at = time.monotonic()
+                continue
+            self._admit()
+            oldest = time.monotonic() - MAX_PENDING_STEPS * self.token_seconds
+            step_at = max(step_at + self.token_seconds, oldest)
+            await asyncio.sleep(max(0.0, step_at - time.monotonic()))
+            if not self.frozen:
+                self._step()
+
+    def _admit(self) -> None:
+        while self._queue and len(self.running) < self.slots:
+            run = heapq.heappop(self._queue)[2]
+            if run.state == "queued":
+                self._start(run)
+
+    def _start(self, run: Run) -> None:
+        request = run.request
+        if CRASH_MARKER in request.prompt:
+            os._exit(1)
+        run.state = "running"
+        run.next_index = request.resume_from
+        run.cached_tokens = self.cache.use(
+            request.model, request.version, request.prompt
+        )
+        tokens = prefix_cache.count_tokens(request.prompt)
+        delay = (tokens - run.cached_tokens) * PREFILL_SECONDS_PER_TOKEN
+        run.ready_at = time.monotonic() + delay
+        self.running.append(run)
+        self.started.append(run)
+        self._changed()
+
+    def _step(self) -> None:
+        now = time.monotonic()
+        for run in list(self.running):
+            if run.ready_at <= now:
+                self._advance(run)
+
+    def _advance(self, run: Run) -> None:
+        if run.next_index < run.count:
+            run.indexes.put_nowait(run.next_index)
+            run.next_index += 1
+        if run.next_index >= run.count:
+            self._end(run, "done")
+
+    def _end(self, run: Run, state: str) -> None:
+        if run in self.running:
+            self.running.remove(run)
+        run.state = state
+        run.indexes.put_nowait(None)
+        self._changed()
+
+
+def new_run(request: GenerateRequest, garbled: bool) -> Run:
+    """Return a run for a request."""
+    count = answers.count(request.prompt, request.max_tokens)
+    return Run(request, count, garbled)
--- /dev/null
+++ b/standins/demo.py
@@ -0,0 +1,246 @@
+"""`make demo` and `make up`: the whole path on loopback."""
+
+import base64
+import dataclasses
+import pathlib
+import signal
+import sys
+import tempfile
+import threading
+import typing
+
+import click
+import orjson
+import requests
+import uuid_utils
+
+from standins import fleet
+from wagtailstream_core import billing
+
+BUNDLE = pathlib.Path(__file__).parent.parent / "examples" / "bundle-demo.yaml"
+ENTRIES = 2
+TIMEOUT_SECONDS = 30.0
+UP_KEY = "wt-demo-atelier"
+RATINGS = ("--quality", "sheet-small=0.4", "--quality", "sheet-large=0.95")
+
+Json = dict[str, typing.Any]
+
+
+class DemoError(Exception):
+    """An outcome, version or bill that is not as the bundle says."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Shown:
+    """What the demo prints of one request."""
+
+    title: str
+    answer: str
+    headers: typing.Mapping[str, str]
+
+    @property
+    def request_id(self) -> str:
+        """The request's identifier."""
+        return self.headers["Wagtail-Request-Id"]
+
+    def require(self, **expected: str) -> None:
+        """Check headers against what the bundle says.
+
+        :param expected: header values by the end of the header's name.
+        :raises DemoError: a header differs.
+        """
+        for name, value in expected.items():
+            found = self.headers.get(f"Wagtail-{name.title()}", "")
+            if found not in value.split("|"):
+                raise DemoError(f"{self.title}: {name} is {found!r}")
+
+
+def _call_chat(
+    url: str, key: str, model: str, text: str, **further: str
+) -> Shown:
+    body = {
+        "model": model,
+        "stream": True,
+        "messages": [{"role": "user", "content": text}],
+    }
+    answer = requests.post(
+        f"{url}/v1/chat/completions",
+        json=body,
+        headers={"Authorization": f"Bearer {key}", **further},
+        timeout=TIMEOUT_SECONDS,
+        stream=True,
+    )
+    if answer.status_code != 200:
+        raise DemoError(f"{model}: {answer.status_code} {answer.text}")
+    return Shown(f"chat with {model}", _read_stream(answer), answer.headers)
+
+
+def _read_stream(answer: requests.Response) -> str:
+    pieces = []
+    is_done = False
+    for line in answer.iter_lines():
+        if line == b"data: [DONE]":
+            is_done = True
+        elif line.startswith(b"data: "):
+            event = orjson.loads(line[len(b"data: ") :])
+            for choice in event["choices"]:
+                pieces.append(choice["delta"].get("content") or "")
+    if not is_done:
+        raise DemoError("the stream ended without its end mark")
+    return "".join(pieces)
+
+
+def _call_service(url: str, key: str, path: str, body: Json) -> Shown:
+    answer = requests.post(
+        f"{url}/v1/services/{path}",
+        json=body,
+        headers={
+            "Authorization": f"Bearer {key}",
+            "Idempotency-Key": str(uuid_utils.uuid7()),
+        },
+        timeout=TIMEOUT_SECONDS,
+    )
+    if answer.status_code != 200:
+        raise DemoError(f"{path}: {answer.status_code} {answer.text}")
+    return Shown(f"operation {path}", answer.text, answer.headers)
+
+
+def fetch_bills(log_url: str) -> billing.BillFold:
+    """Return what the records of the bills stream fold into.
+
+    :param log_url: the log's base address.
+    """
+    fold = billing.BillFold()
+    offset = 0
+    while True:
+        part = requests.get(
+            f"{log_url}/streams/{billing.STREAM}/records",
+            params={"from": offset, "limit": 500},
+            timeout=TIMEOUT_SECONDS,
+        ).json()
+        for record in part["records"]:
+            payload = base64.b64decode(record["payload"])
+            for bill in billing.decode_batch(payload):
+                fold.fold(bill)
+        if not part["records"]:
+            return fold
+        offset = part["records"][-1]["offset"] + 1
+
+
+def _print_shown(shown: Shown, bill: billing.Bill | None) -> None:
+    print(f"\n{shown.title}")
+    print(f"  answer:   {shown.answer[:70]}")
+    for name in ("Model", "Version", "Endpoint", "Outcome"):
+        value = shown.headers.get(f"Wagtail-{name}", "-")
+        print(f"  {name.lower() + ':':9} {value}")
+    if bill is None:
+        raise DemoError(f"{shown.title}: no bill")
+    for cost in bill.attempts:
+        what = f"{cost.model}@{cost.version}" if cost.model else cost.service
+        print(
+            f"  bill:     attempt {cost.attempt} on {cost.endpoint}, {what}, "
+            f"{cost.prompt_tokens}+{cost.answer_tokens} tokens"
+        )
+
+
+def _run_requests(started: fleet.Fleet) -> list[Shown]:
+    first, second = (entry.url for entry in started.entries)
+    draft = _call_chat(
+        first, "wt-demo-atelier", "drafter", "Draft the certificate of B-17."
+    )
+    draft.require(model="drafter", version="1|2", outcome="completed")
+    follow_up = _call_chat(
+        second,
+        "wt-demo-atelier",
+        "drafter",
+        "Shorten it.",
+        **{"Wagtail-Session": draft.headers["Wagtail-Session"]},
+    )
+    follow_up.require(
+        version=draft.headers["Wagtail-Version"], outcome="completed"
+    )
+    issue = _call_service(
+        first,
+        "wt-demo-atelier",
+        "registry/certificates/issue",
+        {"batch": "B-17"},
+    )
+    issue.require(endpoint="registry-1|registry-2|registry-3")
+    sheet = _call_chat(
+        second, "wt-demo-buyer", "sheets", "Draft the shrimp price letter."
+    )
+    sheet.require(model="sheet-large", version="1", outcome="completed")
+    hold = _call_service(
+        second, "wt-demo-broker", "broker/holds/place", {"container": "C-4"}
+    )
+    hold.require(endpoint="broker-1|broker-2|broker-3", outcome="completed")
+    return [draft, follow_up, issue, sheet, hold]
+
+
+def _check_bills(started: fleet.Fleet, shown: list[Shown]) -> None:
+    fold = fetch_bills(started.platform["log"].url)
+    keys = {key.request_id: key for key in fold.keys}
+    if len(keys) != len(shown):
+        raise DemoError(f"{len(keys)} bills for {len(shown)} requests")
+    for item in shown:
+        key = keys.get(item.request_id)
+        _print_shown(item, fold.find_bill(key) if key else None)
+    cascade = fold.find_bill(keys[shown[3].request_id])
+    models = [cost.model for cost in cascade.attempts] if cascade else []
+    if models != ["sheet-small", "sheet-large"]:
+        raise DemoError(f"the cascade's bill has {models}")
+
+
+def _start(directory: str, port: int) -> fleet.Fleet:
+    started = fleet.Fleet(
+        pathlib.Path(directory), BUNDLE, fleet.Options(rating=RATINGS)
+    )
+    try:
+        started.start(ENTRIES, (port,))
+        started.publish()
+        started.wait_ready()
+    except BaseException:
+        started.kill()
+        raise
+    return started
+
+
+@click.group()
+def main() -> None:
+    """Run the whole path on loopback, with stand-ins for the platform."""
+
+
+@main.command()
+def run() -> None:
+    """Run one request of each kind, check it, and stop."""
+    with tempfile.TemporaryDirectory() as directory:
+        started = _start(directory, 0)
+        try:
+            shown = _run_requests(started)
+            _check_bills(started, shown)
+        except DemoError as error:
+            click.echo(f"FAILED: {error}", err=True)
+            sys.exit(1)
+        finally:
+            started.stop()
+    click.echo("\nall as the bundle says; every process stopped gracefully")
+
+
+@main.command()
+@click.option("--port", type=int, default=0, help="0 lets the system pick.")
+def up(port: int) -> None:
+    """Stay up until Ctrl-C or SIGTERM."""
+    stop = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stop.set())
+    with tempfile.TemporaryDirectory() as directory:
+        started = _start(directory, port)
+        try:
+            click.echo(f"ready: {started.entries[0].url} key={UP_KEY}")
+            stop.wait()
+        finally:
+            started.stop()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,456 @@
+"""A whole fleet on loopback: platform, endpoints, agents and entries."""
+
+import base64
+import dataclasses
+import pathlib
+import secrets
+import subprocess
+import sys
+import time
+import typing
+
+import requests
+import yaml
+
+from standins import processes
+from wagtailstream_core import bundle, signing
+
+READY_TIMEOUT_SECONDS = 60.0
+POLL_SECONDS = 0.05
+CALL_TIMEOUT_SECONDS = 10.0
+OPERATORS = ("alice", "bob")
+PLATFORM = ("log", "instances", "rating", "weights")
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass
+class EndpointProcesses:
+    """An endpoint of the bundle with its agent."""
+
+    endpoint: bundle.Endpoint
+    backend: processes.Process
+    agent: processes.Process
+    agent_settings: pathlib.Path
+
+
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """How a fleet is made.
+
+    :param engine: further options of each engine.
+    :param rating: further options of the rating service.
+    :param agent: further settings of each agent.
+    :param entry: further settings of each entry.
+    :param routes: services that are reached through the fault proxy; see
+        :meth:`Fleet.route`.
+    """
+
+    engine: tuple[str, ...] = ()
+    rating: tuple[str, ...] = ()
+    weights: tuple[str, ...] = ()
+    agent: Json = dataclasses.field(default_factory=dict)
+    entry: Json = dataclasses.field(default_factory=dict)
+    has_proxy: bool = False
+
+
+class Fleet:
+    """Starts, feeds and stops the processes of one deployment.
+
+    :param directory: where settings, keys and logs go.
+    :param bundle_path: the bundle whose endpoints are started.
+    :param options: how the fleet is made.
+    """
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        bundle_path: pathlib.Path,
+        options: Options | None = None,
+    ) -> None:
+        self._directory = directory
+        self._bundle_path = bundle_path
+        self._options = options or Options()
+        self._group = processes.ProcessGroup(directory)
+        self._operator_keys: dict[str, str] = {}
+        self._platform: dict[str, processes.Process] = {}
+        self._proxy: processes.Process | None = None
+        self._entries: list[processes.Process] = []
+        self._endpoints: dict[str, EndpointProcesses] = {}
+        self._urls: dict[str, str] = {}
+        self.bundle = bundle.parse(
+            yaml.safe_load(bundle_path.read_text()), str(bundle_path)
+        )
+
+    @property
+    def entries(self) -> list[processes.Process]:
+        """The entries, in the order in which they were started."""
+        return self._entries
+
+    @property
+    def endpoints(self) -> dict[str, EndpointProcesses]:
+        """The endpoints by name."""
+        return self._endpoints
+
+    @property
+    def platform(self) -> dict[str, processes.Process]:
+        """The platform's stand-ins by name."""
+        return self._platform
+
+    def start(self, entries: int, entry_ports: tuple[int, ...] = ()) -> None:
+        """Start everything; nothing is published yet.
+
+        :param entries: how many entries.
+        :param entry_ports: the ports of the first entries; 0 or none lets
+            the system pick.
+        """
+        self._make_keys()
+        if self._options.has_proxy:
+            self._proxy = self._start_standin("proxy")
+        for name in PLATFORM:
+            further = {
+                "rating": self._options.rating,
+                "weights": self._options.weights,
+            }.get(name, ())
+            self._platform[name] = self._start_standin(name, *further)
+        self._urls = {n: p.url for n, p in self._platform.items()}
+        if self._proxy is not None:
+            for name in ("log", "instances"):
+                self._urls[name] = (
+                    f"http://{self.route(name, self._platform[name].address)}"
+                )
+        self._start_endpoints()
+        for index in range(entries):
+            port = entry_ports[index] if index < len(entry_ports) else 0
+            self.start_entry(port)
+        self._write_operators()
+
+    def _make_keys(self) -> None:
+        for name in OPERATORS:
+            pair = signing.generate_operator_key()
+            self._write_secret(name, pair.private_key)
+            self._operator_keys[name] = base64.b64encode(
+                pair.public_key
+            ).decode()
+        for name in ("fleet", "session"):
+            self._write_secret(name, secrets.token_bytes(32))
+
+    def _write_secret(self, name: str, raw: bytes) -> None:
+        path = self._directory / f"{name}.key"
+        path.write_text(base64.b64encode(raw).decode() + "\n")
+        path.chmod(0o600)
+
+    def _start_standin(self, name: str, *options: str) -> processes.Process:
+        return self._group.start(
+            name, "-m", f"standins.{name}", "--port", "0", *options
+        )
+
+    def _start_endpoints(self) -> None:
+        backends = {
+            endpoint.name: self._start_backend(endpoint)
+            for endpoint in self.bundle.endpoints
+        }
+        for endpoint in self.bundle.endpoints:
+            path = self._write_agent(endpoint, backends[endpoint.name])
+            self._endpoints[endpoint.name] = EndpointProcesses(
+                endpoint,
+                backends[endpoint.name],
+                self._start_agent(endpoint.name, path),
+                path,
+            )
+        for name in self._endpoints:
+            self.register_agent(name)
+
+    def _start_backend(self, endpoint: bundle.Endpoint) -> processes.Process:
+        name = f"backend-{endpoint.name}"
+        if endpoint.service:
+            return self._group.start(
+                name, "-m", "standins.plain", "--name", endpoint.name
+            )
+        return self._group.start(
+            name,
+            "-m",
+            "standins.engine",
+            "--name",
+            endpoint.name,
+            "--weights",
+            self._platform["weights"].url,
+            *self._options.engine,
+        )
+
+    def _write_agent(
+        self, endpoint: bundle.Endpoint, backend: processes.Process
+    ) -> pathlib.Path:
+        path = self._directory / f"agent-{endpoint.name}.yaml"
+        value = self._make_common(
+            f"agent-{endpoint.name}", endpoint.data_centre, 0
+        )
+        value |= {
+            "endpoint": endpoint.name,
+            "kind": "service" if endpoint.service else "engine",
+            "endpoint_url": backend.url,
+            **self._options.agent,
+        }
+        path.write_text(yaml.safe_dump(value))
+        return path
+
+    def _make_common(self, instance: str, data_centre: str, port: int) -> Json:
+        return {
+            "instance": instance,
+            "data_centre": data_centre,
+            "host": "127.0.0.1",
+            "port": port,
+            "platform": {
+                "log": self._urls["log"],
+                "instances": self._urls["instances"],
+                "rating": self._platform["rating"].url,
+            },
+            "operator_keys": self._operator_keys,
+            "fleet_keys": self._make_key_settings("fleet"),
+        }
+
+    def _make_key_settings(self, name: str) -> Json:
+        path = self._directory / f"{name}.key"
+        return {
+            "signing": f"{name}-1",
+            "keys": {f"{name}-1": {"file": str(path)}},
+        }
+
+    def _start_agent(self, name: str, path: pathlib.Path) -> processes.Process:
+        return self._group.start(
+            f"agent-{name}",
+            "-m",
+            "wagtailstream_agent.cli",
+            "serve",
+            str(path),
+        )
+
+    def restart_agent(self, name: str) -> processes.Process:
+        """Start a new agent for an endpoint's slot, and list it.
+
+        :param name: the endpoint's name.
+        """
+        found = self._endpoints[name]
+        found.agent = self._start_agent(name, found.agent_settings)
+        self.register_agent(name)
+        return found.agent
+
+    def register_agent(
+        self, name: str, state: str = "live", address: str = ""
+    ) -> None:
+        """Put an agent into the platform's list.
+
+        :param name: the endpoint's name.
+        :param state: ``live`` or ``leaving``.
+        :param address: where entries reach it, if not directly.
+        """
+        found = self._endpoints[name]
+        self._put_instance(
+            f"agent-{name}",
+            {
+                "role": "agent",
+                "address": address or found.agent.address,
+                "data_centre": found.endpoint.data_centre,
+                "endpoint": name,
+                "state": state,
+            },
+        )
+
+    def _put_instance(self, instance: str, value: Json) -> None:
+        requests.put(
+            f"{self._platform['instances'].url}/instances/{instance}",
+            json=value,
+            timeout=CALL_TIMEOUT_SECONDS,
+        ).raise_for_status()
+
+    def start_entry(self, port: int = 0) -> processes.Process:
+        """Start a further entry, and list it.
+
+        :param port: its port; 0 lets the system pick.
+        """
+        index = len(self._entries) + 1
+        places = self.bundle.data_centres
+        place = places[(index - 1) % len(places)]
+        name = f"entry-{index}"
+        path = self._directory / f"{name}.yaml"
+        value = self._make_common(name, place, port)
+        value["session_keys"] = self._make_key_settings("session")
+        value |= {"heartbeat_seconds": 0.25, "refresh_seconds": 0.25}
+        value |= self._options.entry
+        path.write_text(yaml.safe_dump(value))
+        entry = self._group.start(
+            name, "-m", "wagtailstream_entry.cli", "serve", str(path)
+        )
+        self._entries.append(entry)
+        self._put_instance(
+            name,
+            {
+                "role": "entry",
+                "address": entry.address,
+                "data_centre": place,
+                "state": "live",
+            },
+        )
+        return entry
+
+    def _write_operators(self) -> None:
+        for name in OPERATORS:
+            value = {
+                "log": self._platform["log"].url,
+                "entries": [entry.url for entry in self._entries],
+                "key_id": name,
+                "private_key": {"file": str(self._directory / f"{name}.key")},
+                "operator_keys": self._operator_keys,
+                "fleet_keys": self._make_key_settings("fleet"),
+            }
+            path = self._directory / f"{name}.yaml"
+            path.write_text(yaml.safe_dump(value))
+
+    def operate(
+        self, operator: str, *arguments: str, check: bool = True
+    ) -> "subprocess.CompletedProcess[str]":
+        """Run an operators' command that takes ``--settings``.
+
+        :param operator: whose settings.
+        :param arguments: the command, without the settings.
+        :param check: whether a failure raises.
+        """
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "wagtailstream_entry.cli",
+                *arguments,
+                "--settings",
+                str(self._directory / f"{operator}.yaml"),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=READY_TIMEOUT_SECONDS,
+        )
+        if check and done.returncode:
+            raise RuntimeError(f"{arguments}: {done.stdout}{done.stderr}")
+        return done
+
+    def publish(self, path: pathlib.Path | None = None) -> None:
+        """Propose a bundle, sign it off and wait until it is in force.
+
+        :param path: the bundle; by default the fleet's own.
+        """
+        chosen = str(path or self._bundle_path)
+        self.operate("alice", "bundle", "publish", chosen)
+        self.operate("bob", "bundle", "approve", chosen)
+
+    def wait_ready(self) -> None:
+        """Wait until each entry may use each endpoint, all loaded.
+
+        :raises TimeoutError: that took too long.
+        """
+        wanted = {
+            endpoint.name: len(endpoint.models)
+            for endpoint in self.bundle.endpoints
+        }
+
+        def is_ready() -> bool:
+            return all(self._is_entry_ready(e, wanted) for e in self._entries)
+
+        self.wait_until(is_ready, "the fleet is not ready")
+
+    def _is_entry_ready(
+        self, entry: processes.Process, wanted: dict[str, int]
+    ) -> bool:
+        usable = {
+            agent["endpoint"]: len(agent["loaded"])
+            for agent in self.fetch_status(entry)["agents"]
+            if agent.get("usable")
+        }
+        return all(
+            usable.get(name, -1) >= count for name, count in wanted.items()
+        )
+
+    def wait_until(
+        self, is_true: typing.Callable[[], bool], message: str
+    ) -> None:
+        """Wait for a condition.
+
+        :param is_true: the condition.
+        :param message: what to say if it does not come.
+        :raises TimeoutError: it did not come.
+        """
+        deadline = time.monotonic() + READY_TIMEOUT_SECONDS
+        while not is_true():
+            if time.monotonic() > deadline:
+                raise TimeoutError(message)
+            time.sleep(POLL_SECONDS)
+
+    def fetch_status(self, entry: processes.Process) -> Json:
+        """Return an entry's status.
+
+        :param entry: the entry.
+        """
+        return self.get_json(f"{entry.url}/status")
+
+    def get_json(self, url: str) -> Json:
+        """Return the JSON object at an address.
+
+        :param url: the address.
+        """
+        answer = requests.get(url, timeout=CALL_TIMEOUT_SECONDS)
+        value: Json = answer.json()
+        return value
+
+    def set_faults(self, process: processes.Process, **faults: object) -> None:
+        """Set a stand-in's faults.
+
+        :param process: the stand-in.
+        :param faults: by name.
+        """
+        requests.post(
+            f"{process.url}/faults", json=faults, timeout=CALL_TIMEOUT_SECONDS
+        ).raise_for_status()
+
+    def route(self, name: str, target: str) -> str:
+        """Return an address on the fault proxy that leads to a target.
+
+        :param name: the route's name.
+        :param target: IP number and port.
+        """
+        if self._proxy is None:
+            raise RuntimeError("the fleet has no proxy")
+        answer = requests.post(
+            f"{self._proxy.url}/routes",
+            json={"name": name, "target": target},
+            timeout=CALL_TIMEOUT_SECONDS,
+        )
+        return f"127.0.0.1:{answer.json()['port']}"
+
+    def set_route(self, name: str, mode: str, delay: float = 0.0) -> None:
+        """Set the fault of a route.
+
+        :param name: the route's name.
+        :param mode: the fault's name.
+        :param delay: for the mode ``delay``, in seconds.
+        """
+        if self._proxy is None:
+            raise RuntimeError("the fleet has no proxy")
+        requests.post(
+            f"{self._proxy.url}/routes/{name}/faults",
+            json={"mode": mode, "delay_seconds": delay},
+            timeout=CALL_TIMEOUT_SECONDS,
+        ).raise_for_status()
+
+    def stop(self) -> None:
+        """Stop entries, agents, endpoints and platform, in this order."""
+        for entry in self._entries:
+            entry.terminate()
+        for entry in self._entries:
+            entry.wait()
+        for found in self._endpoints.values():
+            found.agent.terminate()
+        for found in self._endpoints.values():
+            found.agent.wait()
+        self._group.stop()
+
+    def kill(self) -> None:
+        """End all processes at once."""
+        self._group.kill()
--- /dev/null
+++ b/standins/prefix_cache.py
@@ -0,0 +1,90 @@
+"""Prompt prefix cache of the model engine and its late events."""
+
+import collections
+import dataclasses
+import time
+
+import xxhash
+
+BLOCK_CHARACTERS = 64
+CACHE_BLOCKS = 1024
+CHARACTERS_PER_TOKEN = 4
+MAX_EVENTS = 10_000
+
+
+@dataclasses.dataclass
+class CacheEvent:
+    """A block that was stored or evicted."""
+
+    seq: int
+    op: str
+    block: str
+    time: float
+
+
+class PrefixCache:
+    """LRU cache over the full blocks of prompt prefixes."""
+
+    def __init__(self, capacity_blocks: int = CACHE_BLOCKS) -> None:
+        self._capacity_blocks = capacity_blocks
+        self._blocks: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self._events: collections.deque[CacheEvent] = collections.deque(
+            maxlen=MAX_EVENTS
+        )
+        self._next_seq = 0
+
+    def use(self, model: str, version: str, prompt: str) -> int:
+        """Store the blocks of a prompt; return its cached tokens."""
+        cached_blocks = 0
+        blocks = prefix_blocks(model, version, prompt)
+        for index, block in enumerate(blocks):
+            if block in self._blocks:
+                cached_blocks += cached_blocks == index
+                self._blocks.move_to_end(block)
+            else:
+                self._store(block)
+        return cached_blocks * BLOCK_CHARACTERS // CHARACTERS_PER_TOKEN
+
+    def published(
+        self, start: int, lag_seconds: float, gap: float
+    ) -> tuple[list[CacheEvent], int]:
+        """Return late events with gaps, and the next sequence number."""
+        newest = time.monotonic() - lag_seconds
+        late = [event for event in self._events if event.time <= newest]
+        next_seq = late[-1].seq + 1 if late else 0
+        kept = [e for e in late if e.seq >= start and not _dropped(e, gap)]
+        return kept, next_seq
+
+    def _store(self, block: str) -> None:
+        self._blocks[block] = None
+        self._publish("stored", block)
+        if len(self._blocks) > self._capacity_blocks:
+            evicted, _ = self._blocks.popitem(last=False)
+            self._publish("evicted", evicted)
+
+    def _publish(self, op: str, block: str) -> None:
+        event = CacheEvent(self._next_seq, op, block, time.monotonic())
+        self._events.append(event)
+        self._next_seq += 1
+
+
+def prefix_blocks(model: str, version: str, prompt: str) -> list[str]:
+    """Return the names of the full blocks of a prompt, in order."""
+    state = xxhash.xxh64(f"{model}@{version}\0".encode())
+    names = []
+    for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+        state.update(prompt[end - BLOCK_CHARACTERS : end].encode())
+        names.append(state.hexdigest())
+    return names
+
+
+def count_tokens(prompt: str) -> int:
+    """Return the number of tokens of a prompt."""
+    return -(-len(prompt) // CHARACTERS_PER_TOKEN)
+
+
+def _dropped(event: CacheEvent, gap: float) -> bool:
+    digest = xxhash.xxh64_intdigest(str(event.seq).encode())
+    return digest / 2**64 < gap
--- /dev/null
+++ b/standins/proxy.py
@@ -0,0 +1,205 @@
+"""TCP proxy that injects faults on its routes."""
+
+import asyncio
+import typing
+
+import click
+import pydantic
+import tornado.web
+
+import standins.service as service
+
+CHUNK_BYTES = 64 * 1024
+DELAY_SECONDS = 0.05
+
+
+class RouteRequest(pydantic.BaseModel):
+    """A route to open, or a new target for an open one."""
+
+    name: str
+    target: str
+
+
+class RouteFaults(pydantic.BaseModel):
+    """The mode of a route."""
+
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+    mode: typing.Literal["pass", "cut", "freeze", "delay", "blackhole"]
+    delay_seconds: float = DELAY_SECONDS
+
+
+class Connection:
+    """A client connection; a silent one swallows all bytes."""
+
+    def __init__(self, route: "Route", silent: bool) -> None:
+        self.silent = silent
+        self._route = route
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def run(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Connect to the target and copy in both directions."""
+        self._writers.append(writer)
+        if self.silent:
+            await self._copy(reader, writer)
+            return
+        host, _, port = self._route.target.rpartition(":")
+        peer = await asyncio.open_connection(host, int(port))
+        self._writers.append(peer[1])
+        await asyncio.gather(
+            self._copy(reader, peer[1]), self._copy(peer[0], writer)
+        )
+
+    def close(self) -> None:
+        """Abort both sides."""
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while chunk := await reader.read(CHUNK_BYTES):
+                await self._forward(chunk, writer)
+        except OSError:
+            if not self.silent:
+                self.close()
+        if not self.silent:
+            self._finish()
+
+    async def _forward(
+        self, chunk: bytes, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._route.faults.mode == "delay":
+            await asyncio.sleep(self._route.faults.delay_seconds)
+        if not self.silent:
+            writer.write(chunk)
+            await writer.drain()
+
+    def _finish(self) -> None:
+        for writer in self._writers:
+            writer.close()
+
+
+class Route:
+    """A listening port and its connections."""
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.faults = RouteFaults(mode="pass")
+        self.port = 0
+        self._connections: set[Connection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def open_connections(self) -> int:
+        """The number of open connections."""
+        return len(self._connections)
+
+    async def listen(self) -> None:
+        """Listen on a port that the system picks."""
+        self._server = await asyncio.start_server(
+            self._accept, service.HOST, 0
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def set_faults(self, faults: RouteFaults) -> None:
+        """Change the mode; open connections follow it."""
+        self.faults = faults
+        for connection in list(self._connections):
+            if faults.mode == "cut":
+                connection.close()
+            elif faults.mode in ("freeze", "blackhole"):
+                connection.silent = True
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.faults.mode == "cut":
+            writer.transport.abort()
+            return
+        connection = Connection(self, self.faults.mode == "blackhole")
+        self._connections.add(connection)
+        try:
+            await connection.run(reader, writer)
+        except OSError:
+            connection.close()
+        finally:
+            self._connections.discard(connection)
+            writer.close()
+
+
+class Proxy(service.Service):
+    """All routes by name."""
+
+    def __init__(self) -> None:
+        super().__init__(service.Faults())
+        self.by_name: dict[str, Route] = {}
+
+    def routes(self) -> service.Rules:
+        """Return the URL rules of the control port."""
+        return [
+            (r"/routes", RoutesHandler),
+            (r"/routes/([^/]+)/faults", RouteFaultsHandler),
+        ]
+
+    async def open(self, name: str, target: str) -> Route:
+        """Open a route, or change the target of an open one."""
+        route = self.by_name.get(name)
+        if route is None:
+            route = self.by_name[name] = Route(target)
+            await route.listen()
+        route.target = target
+        return route
+
+
+class RoutesHandler(service.Handler[Proxy]):
+    """Opens and shows routes."""
+
+    def get(self) -> None:
+        """Return all routes."""
+        self.reply(
+            {
+                "routes": [
+                    {
+                        "name": name,
+                        "target": route.target,
+                        "port": route.port,
+                        "connections": route.open_connections,
+                        **route.faults.model_dump(),
+                    }
+                    for name, route in self.service.by_name.items()
+                ]
+            }
+        )
+
+    async def post(self) -> None:
+        """Open a route."""
+        request = self.parse(RouteRequest)
+        route = await self.service.open(request.name, request.target)
+        self.reply({"port": route.port})
+
+
+class RouteFaultsHandler(service.Handler[Proxy]):
+    """Changes the mode of a route."""
+
+    def post(self, name: str) -> None:
+        """Set the mode from the body."""
+        route = self.service.by_name.get(name)
+        if route is None:
+            raise tornado.web.HTTPError(404)
+        route.set_faults(self.parse(RouteFaults))
+        self.reply(route.faults.model_dump())
+
+
+@click.command()
+@service.port_option
+def main(port: int) -> None:
+    """Run the proxy."""
+    service.run(Proxy(), port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; they mirror the packages."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""Integration tests with real processes on loopback."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Maintenance scripts."""
