--- a/Makefile
+++ b/Makefile
@@ -13,8 +13,8 @@
 
 $(READY): requirements.txt $(PACKAGES:%=%/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
-	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e %)
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check --no-deps --no-build-isolation $(PACKAGES:%=-e %)
 	touch $(READY)
 
 demo: setup
@@ -38,7 +38,7 @@
 
 # Needs grpcio-tools and mypy-protobuf, which requirements-generate.txt names.
 generate: setup
-	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-generate.txt
+	$(BIN)/pip install --quiet --quiet --disable-pip-version-check -r requirements-generate.txt
 	cd packages/wagtailstream-core && ../../$(BIN)/python -m grpc_tools.protoc -I. --plugin=protoc-gen-grpclib_python=../../$(BIN)/protoc-gen-grpclib_python --plugin=protoc-gen-mypy=../../$(BIN)/protoc-gen-mypy --python_out=. --grpclib_python_out=. --mypy_out=. wagtailstream_core/wire.proto
 
 experiments: setup
