--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 PACKAGES := packages/wagtailstream-core packages/wagtailstream-platform packages/wagtailstream-entry packages/wagtailstream-agent
 SOURCES := packages standins experiments tests tools
 PORT ?= 0
+# Where `make up` puts settings, keys and logs.
+DIRECTORY ?= build/up
 
 .PHONY: setup demo up test lint format generate experiments clean
 
@@ -21,7 +23,7 @@
 	@$(BIN)/python -m standins.demo run
 
 up: setup
-	@exec $(BIN)/python -m standins.demo up --port $(PORT)
+	@exec $(BIN)/python -m standins.demo up --port $(PORT) --directory $(DIRECTORY)
 
 test: setup
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/bundle_diff.py
@@ -0,0 +1,68 @@
+"""Compares two bundles, item by item."""
+
+import collections.abc
+import dataclasses
+import json
+import typing
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """One difference between two bundles.
+
+    :param path: where, with named items by their names.
+    :param before: the old value in JSON; None where there was none.
+    :param after: the new value in JSON; None where there is none.
+    """
+
+    path: str
+    before: str | None
+    after: str | None
+
+    def __str__(self) -> str:
+        if self.before is None:
+            return f"+ {self.path}: {self.after}"
+        if self.after is None:
+            return f"- {self.path}: {self.before}"
+        return f"~ {self.path}: {self.before} -> {self.after}"
+
+
+def compare(
+    before: collections.abc.Mapping[str, typing.Any],
+    after: collections.abc.Mapping[str, typing.Any],
+) -> list[Change]:
+    """Return the differences between two bundles' documents, by path.
+
+    :param before: the old bundle.
+    :param after: the new bundle.
+    """
+    old, new = _flatten("", before), _flatten("", after)
+    return [
+        Change(path, old.get(path), new.get(path))
+        for path in sorted(old.keys() | new.keys())
+        if old.get(path) != new.get(path)
+    ]
+
+
+def _flatten(path: str, value: typing.Any) -> dict[str, str]:
+    if isinstance(value, collections.abc.Mapping):
+        return _flatten_items(path, value.items())
+    if isinstance(value, list) and all(map(_find_name, value)) and value:
+        return _flatten_items(path, ((_find_name(v), v) for v in value))
+    return {path: json.dumps(value, sort_keys=True)}
+
+
+def _flatten_items(
+    path: str, items: collections.abc.Iterable[tuple[str, typing.Any]]
+) -> dict[str, str]:
+    flat: dict[str, str] = {}
+    for name, value in items:
+        flat |= _flatten(f"{path}.{name}" if path else str(name), value)
+    return flat
+
+
+def _find_name(value: typing.Any) -> str:
+    """Return the name by which a list's item is known, or nothing."""
+    if not isinstance(value, dict):
+        return ""
+    return str(value.get("name") or value.get("model") or "")
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli_change.py
@@ -0,0 +1,285 @@
+"""The commands that change the configuration."""
+
+import asyncio
+import collections.abc
+import pathlib
+import sys
+import time
+
+import click
+
+from wagtailstream_core import configuration, errors, records
+from wagtailstream_entry import cli_output, operations, operator_settings
+from wagtailstream_platform import log_client
+from wagtailstream_platform import settings as platform_settings
+
+APPEND_TRIES = 20
+DEFAULT_WAIT_SECONDS = 10.0
+
+PathArgument = click.Path(path_type=pathlib.Path)
+settings_option = click.option(
+    "--settings",
+    "settings_path",
+    type=PathArgument,
+    required=True,
+    help="The operator's settings.",
+)
+_wait_option = click.option(
+    "--wait",
+    "wait_seconds",
+    type=float,
+    default=DEFAULT_WAIT_SECONDS,
+    help="Seconds to wait until it is in force everywhere.",
+)
+
+Sealer = collections.abc.Callable[
+    [configuration.Configuration, operator_settings.OperatorSettings], bytes
+]
+Maker = collections.abc.Callable[[configuration.Configuration], records.Record]
+
+
+def load_settings(
+    path: pathlib.Path,
+) -> operator_settings.OperatorSettings:
+    """Return an operator's settings, or exit with what is wrong.
+
+    :param path: the settings file.
+    """
+    try:
+        return platform_settings.load(path, operator_settings.OperatorSettings)
+    except errors.SettingsError as error:
+        cli_output.fail(str(error), cli_output.EXIT_INVALID)
+
+
+def _seal_with(make_record: Maker) -> Sealer:
+    def seal(
+        state: configuration.Configuration,
+        loaded: operator_settings.OperatorSettings,
+    ) -> bytes:
+        return records.seal(make_record(state), loaded.load_signer())
+
+    return seal
+
+
+def _change(
+    settings_path: pathlib.Path,
+    seal: Sealer,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
+    """Append a record, say whether it counts, wait until it is in force."""
+    loaded = load_settings(settings_path)
+    try:
+        published = asyncio.run(_append(loaded, seal))
+    except errors.LogUnavailableError as error:
+        cli_output.fail(str(error), cli_output.EXIT_FAILED)
+    except errors.WagtailstreamError as error:
+        cli_output.fail(str(error), cli_output.EXIT_INVALID)
+    value = {
+        "offset": published.offset,
+        "verdict": published.verdict.value,
+        "detail": published.detail,
+    }
+    if published.verdict is not configuration.Verdict.ACCEPTED:
+        text = f"rejected: {published.verdict.value}: {published.detail}"
+        cli_output.show(output_format, text, value)
+        sys.exit(cli_output.EXIT_LOST)
+    text = f"accepted at offset {published.offset}"
+    cli_output.show(output_format, text, value)
+    _wait_in_force(loaded, published.offset, wait_seconds)
+
+
+async def _append(
+    loaded: operator_settings.OperatorSettings, seal: Sealer
+) -> operations.Published:
+    log = log_client.HttpLogClient(str(loaded.log))
+    keyring = loaded.load_keyring()
+    state = await operations.fetch_configuration(log, keyring)
+    payload = seal(state, loaded)
+    return await operations.append_record(log, keyring, payload, APPEND_TRIES)
+
+
+def _wait_in_force(
+    loaded: operator_settings.OperatorSettings,
+    offset: int,
+    wait_seconds: float,
+) -> None:
+    """Show how far a change has come until all instances hold it."""
+    urls = [str(url) for url in loaded.entries]
+    if not urls or wait_seconds <= 0:
+        return
+    deadline = time.monotonic() + wait_seconds
+    shown = -1
+    while True:
+        progress = asyncio.run(operations.measure_progress(urls, offset))
+        total = progress.in_force + len(progress.behind)
+        if progress.in_force != shown:
+            shown = progress.in_force
+            click.echo(f"in force on {shown} of {total}", err=True)
+        if not progress.behind:
+            return
+        if time.monotonic() > deadline:
+            break
+        time.sleep(operations.POLL_SECONDS)
+    cli_output.fail(
+        "not yet on: " + ", ".join(progress.behind), cli_output.EXIT_TIMEOUT
+    )
+
+
+def _add_options(
+    command: collections.abc.Callable[..., None],
+) -> collections.abc.Callable[..., None]:
+    return settings_option(_wait_option(cli_output.format_option(command)))
+
+
+@click.command()
+@click.argument("path", type=PathArgument)
+@click.option(
+    "--signed", is_flag=True, help="PATH holds what `bundle sign` wrote."
+)
+@_add_options
+def publish(
+    path: pathlib.Path,
+    signed: bool,
+    settings_path: pathlib.Path,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
+    """Propose the bundle in PATH; another operator must approve it.
+
+    Says whether the proposal won or lost against another change. A lost
+    answer from the log is resolved by reading the log.
+
+    Example: wagtailstream bundle publish bundle.yaml --settings alice.yaml
+    """
+    try:
+        if signed:
+            payload = path.read_bytes()
+            _change(
+                settings_path,
+                lambda *_: payload,
+                wait_seconds,
+                output_format,
+            )
+            return
+        document = operations.read_bundle(path)
+    except errors.BundleError as error:
+        cli_output.fail(str(error), cli_output.EXIT_INVALID)
+    except OSError as error:
+        cli_output.fail(f"{path}: {error}", cli_output.EXIT_INVALID)
+    _change(
+        settings_path,
+        _seal_with(lambda state: operations.make_publish(document, state)),
+        wait_seconds,
+        output_format,
+    )
+
+
+@click.command()
+@click.argument("path", type=PathArgument, required=False)
+@_add_options
+def approve(
+    path: pathlib.Path | None,
+    settings_path: pathlib.Path,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
+    """Sign off the proposed bundle; with PATH, only if it is that one.
+
+    Example: wagtailstream bundle approve bundle.yaml --settings bob.yaml
+    """
+    expected = ""
+    if path is not None:
+        try:
+            document = operations.read_bundle(path)
+        except errors.BundleError as error:
+            cli_output.fail(str(error), cli_output.EXIT_INVALID)
+        expected = operations.digest_document(document)
+    _change(
+        settings_path,
+        _seal_with(
+            lambda state: operations.make_approve(
+                expected or operations.find_proposal_digest(state), state
+            )
+        ),
+        wait_seconds,
+        output_format,
+    )
+
+
+@click.command()
+@click.argument("model")
+@_add_options
+def advance(
+    model: str,
+    settings_path: pathlib.Path,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
+    """Move the roll-out of MODEL to its next stage.
+
+    Example: wagtailstream bundle advance drafter --settings alice.yaml
+    """
+    _change(
+        settings_path,
+        _seal_with(lambda state: operations.make_advance(model, state)),
+        wait_seconds,
+        output_format,
+    )
+
+
+@click.command()
+@click.argument("model")
+@click.argument("version")
+@_add_options
+def withdraw(
+    model: str,
+    version: str,
+    settings_path: pathlib.Path,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
+    """Withdraw VERSION of MODEL for good.
+
+    Example: wagtailstream bundle withdraw drafter 2 --settings alice.yaml
+    """
+    _change(
+        settings_path,
+        _seal_with(
+            lambda state: records.Withdraw(
+                base=state.revision, model=model, version=version
+            )
+        ),
+        wait_seconds,
+        output_format,
+    )
+
+
+@click.command()
+@click.argument("model")
+@click.argument("version")
+@_add_options
+def reinstate(
+    model: str,
+    version: str,
+    settings_path: pathlib.Path,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
+    """Lift the suspension of VERSION of MODEL.
+
+    Example: wagtailstream bundle reinstate drafter 2 --settings alice.yaml
+    """
+    _change(
+        settings_path,
+        _seal_with(
+            lambda state: records.Reinstate(
+                base=state.revision, model=model, version=version
+            )
+        ),
+        wait_seconds,
+        output_format,
+    )
+
+
+COMMANDS = (publish, approve, advance, withdraw, reinstate)
--- a/packages/wagtailstream-platform/wagtailstream_platform/settings.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/settings.py
@@ -45,9 +45,17 @@
         source = str(self.file or self.environment)
         try:
             raw = base64.b64decode(self._read_text().strip(), validate=True)
-        except (OSError, KeyError, binascii.Error) as error:
+        except KeyError as error:
             raise errors.SettingsError(
-                "load secret", source, f"can't be read: {error}"
+                "load secret", source, "the variable is not set"
+            ) from error
+        except OSError as error:
+            raise errors.SettingsError(
+                "load secret", source, str(error.strerror)
+            ) from error
+        except binascii.Error as error:
+            raise errors.SettingsError(
+                "load secret", source, "is not base64"
             ) from error
         if len(raw) < MIN_SECRET_BYTES:
             raise errors.SettingsError(
@@ -206,7 +214,7 @@
             for item in error.errors()
         ]
         raise errors.SettingsError(
-            "check settings", str(path), "\n".join(problems)
+            "check settings", str(path), "\n" + "\n".join(problems)
         ) from error
 
 
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import pathlib
+import shutil
 import signal
 import sys
 import tempfile
@@ -228,18 +229,25 @@
 
 @main.command()
 @click.option("--port", type=int, default=0, help="0 lets the system pick.")
-def up(port: int) -> None:
+@click.option(
+    "--directory",
+    type=click.Path(path_type=pathlib.Path),
+    required=True,
+    help="Where settings, keys and logs go; made anew.",
+)
+def up(port: int, directory: pathlib.Path) -> None:
     """Stay up until Ctrl-C or SIGTERM."""
     stop = threading.Event()
     for number in (signal.SIGINT, signal.SIGTERM):
         signal.signal(number, lambda *_: stop.set())
-    with tempfile.TemporaryDirectory() as directory:
-        started = _start(directory, port)
-        try:
-            click.echo(f"ready: {started.entries[0].url} key={UP_KEY}")
-            stop.wait()
-        finally:
-            started.stop()
+    shutil.rmtree(directory, ignore_errors=True)
+    directory.mkdir(parents=True)
+    started = _start(str(directory), port)
+    try:
+        click.echo(f"ready: {started.entries[0].url} key={UP_KEY}")
+        stop.wait()
+    finally:
+        started.stop()
 
 
 if __name__ == "__main__":
