--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -33,6 +33,7 @@
     follower,
     log_client,
     metrics,
+    reporter,
 )
 
 DRAIN_POLL_SECONDS = 0.05
@@ -190,6 +191,13 @@
             contacts=wire_codec.encode_contacts(self._follower.contacts),
         )
 
+    def _read_gauges(self) -> reporter.Reading:
+        return reporter.Reading(
+            self._service.open_count,
+            self._follower.state.offset,
+            self._follower.judge(),
+        )
+
     def _start(
         self,
         coroutine: collections.abc.Coroutine[typing.Any, typing.Any, None],
@@ -203,6 +211,7 @@
             loop.add_signal_handler(signal_number, self._stop.set)
         self._start(self._follower.run())
         self._start(self._outbox.run())
+        self._start(reporter.Reporter(self._metrics, self._read_gauges).run())
         if self._loader is not None:
             self._start(self._loader.run())
         server = self._make_server()
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -33,6 +33,7 @@
     follower,
     instance_list,
     log_client,
+    reporter,
 )
 
 DRAIN_POLL_SECONDS = 0.05
@@ -172,6 +173,13 @@
             ),
         ]
 
+    def _read_gauges(self) -> reporter.Reading:
+        return reporter.Reading(
+            len(self._open_requests),
+            self._follower.state.offset,
+            self._follower.judge(),
+        )
+
     def _is_ready(self) -> bool:
         return (
             not self._is_draining
@@ -238,6 +246,7 @@
                 self._follower.run(),
                 self._outbox.run(),
                 self._table.run(),
+                reporter.Reporter(self._metrics, self._read_gauges).run(),
             )
         ]
         server = httpserver.HTTPServer(
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -233,6 +233,8 @@
         request = job.request
         number = request.next_attempt()
         position = job.assembler.start_attempt(number)
+        if position:
+            self._metrics.count(metrics.Metric.RESUMED)
         attempt = work.Attempt(
             request.request_id,
             number,
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,53 @@
+"""Pages say what the code says."""
+
+import pathlib
+import re
+
+import pytest
+
+from wagtailstream_core import errors
+from wagtailstream_entry import responses
+from wagtailstream_platform import metrics
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+
+
+def read_rows(name: str) -> list[list[str]]:
+    """Return the cells of a page's table rows that begin with code."""
+    lines = (DOCS / "operations" / name).read_text().splitlines()
+    return [
+        [cell.strip().strip("`") for cell in line.strip("|").split("|")]
+        for line in lines
+        if line.startswith("| `")
+    ]
+
+
+def test_every_refusal_is_documented_with_its_status() -> None:
+    rows = {row[0]: row[1] for row in read_rows("refusals.md")}
+    expected = {}
+    for reason in errors.Reason:
+        refusal = errors.not_run(reason, "", "", "")
+        expected[reason.value] = str(responses.find_status(refusal))
+    expected[errors.Reason.CANCELLED.value] = "-"
+    assert rows == expected
+
+
+def test_every_metric_is_documented() -> None:
+    rows = read_rows("metrics.md")
+    names = {re.sub(r"\.[A-Z]+$", "", row[0]) for row in rows}
+    assert names == {metric.value for metric in metrics.Metric}
+
+
+@pytest.mark.parametrize(
+    "page",
+    [DOCS.parent / "README.md", *sorted(DOCS.rglob("*.md"))],
+    ids=lambda path: str(path.name),
+)
+def test_pages_name_only_files_that_exist(page: pathlib.Path) -> None:
+    named = re.findall(
+        r"`((?:docs|tests|examples|experiments|standins|packages|tools)/"
+        r"[\w./-]+)`",
+        page.read_text(),
+    )
+    missing = [name for name in named if not (DOCS.parent / name).exists()]
+    assert not missing
