--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -34,6 +34,7 @@
     log_client,
     metrics,
     reporter,
+    tls,
 )
 
 DRAIN_POLL_SECONDS = 0.05
@@ -215,7 +216,10 @@
         if self._loader is not None:
             self._start(self._loader.run())
         server = self._make_server()
-        await server.start(sock=self._socket)
+        await server.start(
+            sock=self._socket,
+            ssl=tls.make_server_context(self._settings.tls),
+        )
         print(f"listening {self._socket.getsockname()[1]}", flush=True)
         await self._stop.wait()
         await self._shut_down(server)
--- a/packages/wagtailstream-core/wagtailstream_core/session.py
+++ b/packages/wagtailstream-core/wagtailstream_core/session.py
@@ -110,6 +110,10 @@
 
 
 def _decode(text: str) -> bytes:
-    return base64.b64decode(
+    raw = base64.b64decode(
         text + "=" * (-len(text) % 4), altchars=b"-_", validate=True
     )
+    if _encode(raw) != text:
+        # Unused bits of the last character would make tokens malleable.
+        raise ValueError("not canonical base64")
+    return raw
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -4,6 +4,7 @@
 import logging
 import random
 import signal
+import ssl
 
 import uuid_utils
 from tornado import httpserver
@@ -34,6 +35,7 @@
     instance_list,
     log_client,
     reporter,
+    tls,
 )
 
 DRAIN_POLL_SECONDS = 0.05
@@ -80,6 +82,7 @@
             self._make_heartbeat,
             entry_settings.heartbeat_seconds,
             entry_settings.refresh_seconds,
+            tls.make_client_context(entry_settings.tls),
         )
         self._dispatcher = dispatch.Dispatcher(
             self._table,
@@ -254,6 +257,7 @@
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
             max_buffer_size=MAX_BUFFER_BYTES,
+            ssl_options=self._make_caller_context(),
         )
         self._socket.listen(1024)
         server.add_socket(self._socket)
@@ -261,6 +265,12 @@
         await self._stop.wait()
         await self._shut_down(server, tasks)
 
+    def _make_caller_context(self) -> ssl.SSLContext | None:
+        files = self._settings.caller_tls
+        if files is None:
+            return None
+        return tls.make_caller_context(files.certificate, files.private_key)
+
     async def _shut_down(
         self,
         server: httpserver.HTTPServer,
--- a/packages/wagtailstream-entry/wagtailstream_entry/connection.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import ssl
 import uuid
 
 import grpclib
@@ -45,15 +46,19 @@
 
     :param address: the agent's IP number and port.
     :param authenticator: makes the credentials of calls.
+    :param context: for TLS; None for a plain connection.
     """
 
     def __init__(
-        self, address: str, authenticator: auth.Authenticator
+        self,
+        address: str,
+        authenticator: auth.Authenticator,
+        context: ssl.SSLContext | None = None,
     ) -> None:
         host, _, port = address.rpartition(":")
         self._address = address
         self._authenticator = authenticator
-        self._channel = grpclib.client.Channel(host, int(port))
+        self._channel = grpclib.client.Channel(host, int(port), ssl=context)
         self._stub = wire_grpc.AgentStub(self._channel)
         self._link = uuid.uuid4().hex
         self._in_flight = 0
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -8,6 +8,7 @@
 import collections.abc
 import dataclasses
 import logging
+import ssl
 import typing
 
 from wagtailstream_core import (
@@ -225,6 +226,7 @@
     :param make_heartbeat: returns this entry's present state.
     :param heartbeat_seconds: the time between heartbeats.
     :param refresh_seconds: the time between looks at the list.
+    :param context: for TLS; None for plain connections.
     """
 
     def __init__(
@@ -236,7 +238,9 @@
         make_heartbeat: connection.HeartbeatMaker,
         heartbeat_seconds: float,
         refresh_seconds: float,
+        context: ssl.SSLContext | None = None,
     ) -> None:
+        self._context = context
         self._instances = instances
         self._refresh_seconds = refresh_seconds
         self._links: dict[str, AgentLink] = {}
@@ -264,7 +268,9 @@
 
         :param address: the agent's IP number and port.
         """
-        return connection.Connection(address, self._authenticator)
+        return connection.Connection(
+            address, self._authenticator, self._context
+        )
 
     async def watch(
         self,
--- a/packages/wagtailstream-entry/wagtailstream_entry/settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settings.py
@@ -5,13 +5,23 @@
 from wagtailstream_platform import settings
 
 
+class CallerTls(settings.Section):
+    """The certificate that callers see, in PEM files."""
+
+    certificate: pydantic.FilePath
+    private_key: pydantic.FilePath
+
+
 class EntrySettings(settings.Common):
     """What one entry needs to know before it starts.
 
     :param session_keys: the keys that sign session tokens.
+    :param caller_tls: the certificate towards callers; without it the
+        balancer ends TLS.
     :param heartbeat_seconds: how often each agent is asked for its state.
     """
 
     session_keys: settings.Keys
+    caller_tls: CallerTls | None = None
     heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
     refresh_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
--- a/packages/wagtailstream-platform/wagtailstream_platform/settings.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/settings.py
@@ -141,6 +141,17 @@
     prefix: str = "wagtailstream"
 
 
+class Tls(Section):
+    """Certificates in PEM files.
+
+    :param authority: who signs the peers' certificates.
+    """
+
+    certificate: pydantic.FilePath
+    private_key: pydantic.FilePath
+    authority: pydantic.FilePath
+
+
 class Platform(Section):
     """The addresses of the platform's services."""
 
@@ -154,6 +165,8 @@
 
     :param instance: this instance's unique name.
     :param operator_keys: base64 Ed25519 public keys by identifier.
+    :param tls: certificates for the calls between instances, both ways;
+        without it these calls are authenticated, but not encrypted.
     :param drain_seconds: how long a graceful shutdown may take.
     """
 
@@ -164,6 +177,7 @@
     platform: Platform
     operator_keys: OperatorKeys
     fleet_keys: Keys
+    tls: Tls | None = None
     statsd: Statsd | None = None
     log_level: typing.Literal["debug", "info", "warning", "error"] = "info"
     drain_seconds: float = pydantic.Field(default=30.0, gt=0, le=3600)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -341,6 +341,14 @@
         self.operate("alice", "bundle", "publish", chosen)
         self.operate("bob", "bundle", "approve", chosen)
 
+    def publish_without_waiting(self) -> None:
+        """Propose the fleet's bundle and sign it off."""
+        chosen = str(self._bundle_path)
+        for operator, verb in zip(
+            OPERATORS, ("publish", "approve"), strict=True
+        ):
+            self.operate(operator, "bundle", verb, chosen, "--wait", "0")
+
     def wait_ready(self) -> None:
         """Wait until each entry may use each endpoint, all loaded.
 
