Look customers up by index, and measure slopes of control state

Cause: authentication and every find_* of the bundle walked all items; on the request path that grew with the number of customers. Ruled out: caching customers by key in the entry, which would outlive a change of the bundle; the index belongs to the (frozen) bundle.

--- /dev/null
+++ b/experiments/capacity.py
@@ -0,0 +1,358 @@
+"""Slopes of control state and work: memory and CPU at N, 2N and 4N units.
+
+Run as ``python -m experiments.capacity``. Python's own memory is left out:
+only what grows with the units is measured, by tracemalloc. CPU is the
+process's own time, least of several runs.
+"""
+
+import abc
+import collections.abc
+import dataclasses
+import gc
+import time
+import tracemalloc
+
+import click
+import uuid_utils
+
+from wagtailstream_core import (
+    billing,
+    bundle,
+    configuration,
+    freshness,
+    ledger,
+    records,
+    signing,
+    wire_codec,
+    wire_pb2,
+)
+from wagtailstream_entry import authenticate
+
+REPEATS = 3
+FACTORS = (1, 2, 4)
+KEYS = signing.Keyring({}, {"fleet": b"0" * 32})
+SIGNER = signing.FleetSigner("fleet", b"0" * 32)
+CALLS = 200
+MICROSECONDS = 1e6
+WINDOW_SECONDS = 3600.0
+
+
+class Slope(abc.ABC):
+    """Something that grows with a number of units."""
+
+    name: str
+    unit: str
+    base: int
+
+    @abc.abstractmethod
+    def build(self, count: int) -> object:
+        """Return state with so many units.
+
+        :param count: the number of units.
+        """
+
+    def work(self, state: object, count: int) -> int:
+        """Work on the state, and return how many calls that were.
+
+        :param state: what :meth:`build` returned.
+        :param count: the number of units in it.
+        """
+        return 0
+
+
+class CustomerSlope(Slope):
+    """A bundle with customers; finding one by its API key."""
+
+    name = "bundle"
+    unit = "customer"
+    base = 250
+
+    def build(self, count: int) -> bundle.Bundle:
+        """Return a bundle with so many customers.
+
+        :param count: the number of customers.
+        """
+        return bundle.parse(_make_bundle(count), "capacity")
+
+    def work(self, state: object, count: int) -> int:
+        """Authenticate the last customer.
+
+        :param state: the bundle.
+        :param count: the number of customers.
+        """
+        assert isinstance(state, bundle.Bundle)
+        header = f"Bearer key-{count - 1}"
+        for _ in range(CALLS):
+            authenticate.find_customer(header, state)
+        return CALLS
+
+
+class ClaimSlope(Slope):
+    """A ledger with claims; folding one."""
+
+    name = "ledger"
+    unit = "claim"
+    base = 5000
+
+    def build(self, count: int) -> ledger.Ledger:
+        """Return a ledger with so many claims.
+
+        :param count: the number of claims.
+        """
+        built = ledger.Ledger(WINDOW_SECONDS)
+        for _ in range(count):
+            built.fold(_make_claim(), time.time())
+        return built
+
+    def work(self, state: object, count: int) -> int:
+        """Decode and fold further claims, each a batch of its own.
+
+        :param state: the ledger.
+        :param count: the number of claims.
+        """
+        assert isinstance(state, ledger.Ledger)
+        payloads = [ledger.encode_batch([_make_claim()]) for _ in range(CALLS)]
+        for payload in payloads:
+            for entry in ledger.decode_batch(payload):
+                state.fold(entry, time.time())
+        return CALLS
+
+
+class BillSlope(Slope):
+    """Bills that wait for the log; encoding them for an append."""
+
+    name = "outbox"
+    unit = "bill"
+    base = 1000
+
+    def build(self, count: int) -> list[billing.Bill]:
+        """Return so many bills.
+
+        :param count: the number of bills.
+        """
+        return [_make_bill() for _ in range(count)]
+
+    def work(self, state: object, count: int) -> int:
+        """Encode all bills for one append.
+
+        :param state: the bills.
+        :param count: the number of bills.
+        """
+        assert isinstance(state, list)
+        billing.encode_batch(state)
+        return count
+
+
+class RecordSlope(Slope):
+    """Quarantine records of the configuration stream; folding them."""
+
+    name = "configuration"
+    unit = "record"
+    base = 250
+
+    def build(self, count: int) -> list[configuration.LogRecord]:
+        """Return so many signed records.
+
+        :param count: the number of records.
+        """
+        return [
+            configuration.LogRecord(offset, _make_record(offset), time.time())
+            for offset in range(count)
+        ]
+
+    def work(self, state: object, count: int) -> int:
+        """Fold the records.
+
+        :param state: the records.
+        :param count: the number of records.
+        """
+        assert isinstance(state, list)
+        folded = configuration.Configuration()
+        for record in state:
+            folded = configuration.fold(folded, record, KEYS).configuration
+        return count
+
+
+class HeartbeatSlope(Slope):
+    """Heartbeats; encoding and decoding them."""
+
+    name = "heartbeat"
+    unit = "heartbeat"
+    base = 500
+
+    def build(self, count: int) -> list[bytes]:
+        """Return so many encoded heartbeats.
+
+        :param count: the number of heartbeats.
+        """
+        return [make_heartbeat(n).SerializeToString() for n in range(count)]
+
+    def work(self, state: object, count: int) -> int:
+        """Encode and decode each.
+
+        :param state: the heartbeats.
+        :param count: the number of heartbeats.
+        """
+        assert isinstance(state, list)
+        for number, raw in enumerate(state):
+            make_heartbeat(number).SerializeToString()
+            message = wire_pb2.Heartbeat.FromString(raw)
+            wire_codec.decode_contacts(message.contacts)
+        return count
+
+
+SLOPES: tuple[Slope, ...] = (
+    CustomerSlope(),
+    ClaimSlope(),
+    BillSlope(),
+    RecordSlope(),
+    HeartbeatSlope(),
+)
+
+
+def make_heartbeat(sequence: int) -> wire_pb2.Heartbeat:
+    """Return an agent's heartbeat as it is at the fleet's size.
+
+    :param sequence: its number.
+    """
+    contacts = [
+        freshness.LogContact(place, 1.7e9 + sequence, sequence, 0.0)
+        for place in ("rennes", "brest", "houston-1", "galveston")
+    ]
+    return wire_pb2.Heartbeat(
+        instance=f"agent-drafting-{sequence}",
+        endpoint=f"drafting-{sequence}",
+        data_centre="rennes",
+        sequence=sequence,
+        configuration_offset=sequence,
+        running=8,
+        slots=16,
+        loaded=[
+            wire_pb2.ModelVersion(model="drafter", version=version)
+            for version in ("1", "2")
+        ],
+        contacts=wire_codec.encode_contacts(contacts),
+    )
+
+
+def _make_bundle(customers: int) -> dict[str, object]:
+    return {
+        "name": "capacity",
+        "data_centres": ["rennes"],
+        "models": [{"name": "drafter", "versions": ["1"], "stable": "1"}],
+        "customers": [
+            {
+                "name": f"customer-{number}",
+                "key_hashes": [bundle.hash_key(f"key-{number}")],
+                "allow": [{"model": "drafter"}],
+            }
+            for number in range(customers)
+        ],
+    }
+
+
+def _make_claim() -> ledger.Claim:
+    return ledger.Claim(
+        customer="gulfmark-brokers",
+        service="broker",
+        idempotency_key=str(uuid_utils.uuid7()),
+        claim_id=uuid_utils.uuid4().hex,
+        claimant="127.0.0.1:9100",
+        request_id=uuid_utils.uuid4().hex,
+        key_time=time.time(),
+    )
+
+
+def _make_bill() -> billing.Bill:
+    cost = billing.AttemptCost(
+        attempt=0,
+        endpoint="drafting-1",
+        model="drafter",
+        version="1",
+        prompt_tokens=400,
+        answer_tokens=200,
+    )
+    return billing.Bill(
+        customer="atelier-conquet",
+        request_id=uuid_utils.uuid7().hex,
+        attempts=(cost,),
+    )
+
+
+def _make_record(offset: int) -> bytes:
+    record = records.Quarantine(
+        base=0, digest=f"{offset:064x}", until=time.time() + WINDOW_SECONDS
+    )
+    # Copied, since the encoder's own buffer is larger than its content.
+    return bytes(bytearray(records.seal(record, SIGNER)))
+
+
+@dataclasses.dataclass(frozen=True)
+class Measured:
+    """One point of a slope.
+
+    :param size: bytes in all.
+    :param seconds: CPU for one call.
+    """
+
+    count: int
+    size: int
+    seconds: float
+
+
+def measure(slope: Slope, count: int) -> Measured:
+    """Return memory and CPU at a number of units.
+
+    :param slope: what grows.
+    :param count: the number of units.
+    """
+    gc.collect()
+    tracemalloc.start()
+    state = slope.build(count)
+    gc.collect()
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    best = min(_time_work(slope, state, count) for _ in range(REPEATS))
+    return Measured(count, size, best)
+
+
+def _time_work(slope: Slope, state: object, count: int) -> float:
+    started_at = time.process_time()
+    calls = slope.work(state, count)
+    return (time.process_time() - started_at) / max(1, calls)
+
+
+def fit(points: collections.abc.Sequence[Measured]) -> float:
+    """Return the bytes that one more unit takes.
+
+    :param points: at least two, with rising counts.
+    """
+    first, last = points[0], points[-1]
+    return (last.size - first.size) / (last.count - first.count)
+
+
+@click.command()
+def main() -> None:
+    """Print the slopes, and the size of messages."""
+    click.echo(
+        f"{'what':14} {'unit':10} {'bytes/unit':>10}  us/call at N,2N,4N"
+    )
+    for slope in SLOPES:
+        points = [measure(slope, slope.base * f) for f in FACTORS]
+        times = "  ".join(f"{p.seconds * MICROSECONDS:8.1f}" for p in points)
+        counts = "/".join(str(p.count) for p in points)
+        click.echo(
+            f"{slope.name:14} {slope.unit:10} {fit(points):10.0f}  {times}"
+            f"  (N={counts})"
+        )
+    for name, size in (
+        ("heartbeat", len(make_heartbeat(1000).SerializeToString())),
+        ("claim", len(ledger.encode_batch([_make_claim()]))),
+        ("bill", len(billing.encode_batch([_make_bill()]))),
+        ("record", len(_make_record(1))),
+    ):
+        click.echo(f"{name:14} {'message':10} {size:10d}")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/wagtailstream-core/wagtailstream_core/bundle.py
+++ b/packages/wagtailstream-core/wagtailstream_core/bundle.py
@@ -1,5 +1,6 @@
 """The bundle: which models, versions and places each customer may use."""
 
+import functools
 import hashlib
 import re
 import typing
@@ -171,40 +172,78 @@
     customers: tuple[Customer, ...] = ()
     limits: Limits = Limits()
 
+    @functools.cached_property
+    def _models_by_name(self) -> dict[str, ServedModel]:
+        return {model.name: model for model in self.models}
+
+    @functools.cached_property
+    def _services_by_name(self) -> dict[str, PlainService]:
+        return {service.name: service for service in self.services}
+
+    @functools.cached_property
+    def _endpoints_by_name(self) -> dict[str, Endpoint]:
+        return {endpoint.name: endpoint for endpoint in self.endpoints}
+
+    @functools.cached_property
+    def _ladders_by_name(self) -> dict[str, Ladder]:
+        return {ladder.name: ladder for ladder in self.ladders}
+
+    @functools.cached_property
+    def _customers_by_name(self) -> dict[str, Customer]:
+        return {customer.name: customer for customer in self.customers}
+
+    @functools.cached_property
+    def _customers_by_key_hash(self) -> dict[str, Customer]:
+        return {
+            key_hash: customer
+            for customer in self.customers
+            for key_hash in customer.key_hashes
+        }
+
+    def find_customer_by_key(self, key: str) -> Customer | None:
+        """Return the customer that an API key belongs to, or None.
+
+        The key's SHA-256 is looked up, so what the look-up's time tells is
+        about a hash that a caller can't choose.
+
+        :param key: the key as the caller sent it.
+        """
+        return self._customers_by_key_hash.get(hash_key(key))
+
     def find_model(self, name: str) -> ServedModel | None:
         """Return the model of a name, or None.
 
         :param name: the model's name.
         """
-        return next((m for m in self.models if m.name == name), None)
+        return self._models_by_name.get(name)
 
     def find_service(self, name: str) -> PlainService | None:
         """Return the plain service of a name, or None.
 
         :param name: the service's name.
         """
-        return next((s for s in self.services if s.name == name), None)
+        return self._services_by_name.get(name)
 
     def find_endpoint(self, name: str) -> Endpoint | None:
         """Return the endpoint of a name, or None.
 
         :param name: the endpoint's name.
         """
-        return next((e for e in self.endpoints if e.name == name), None)
+        return self._endpoints_by_name.get(name)
 
     def find_ladder(self, name: str) -> Ladder | None:
         """Return the ladder of a name, or None.
 
         :param name: the ladder's name.
         """
-        return next((x for x in self.ladders if x.name == name), None)
+        return self._ladders_by_name.get(name)
 
     def find_customer(self, name: str) -> Customer | None:
         """Return the customer of a name, or None.
 
         :param name: the customer's name.
         """
-        return next((c for c in self.customers if c.name == name), None)
+        return self._customers_by_name.get(name)
 
 
 def parse(value: object, source: str) -> Bundle:
--- a/packages/wagtailstream-entry/wagtailstream_entry/authenticate.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/authenticate.py
@@ -1,7 +1,5 @@
 """Finds the customer that an API key belongs to."""
 
-import hmac
-
 import expression
 
 from wagtailstream_core import bundle, errors
@@ -17,8 +15,6 @@
 ) -> bundle.Customer | None:
     """Return the customer of an Authorization header, or None.
 
-    Every hash is compared, each in constant time.
-
     :param authorization: the header's value.
     :param known: the bundle in force.
     """
@@ -27,13 +23,7 @@
     key = authorization[len(_SCHEME) :].strip()
     if len(key) > MAX_KEY_CHARACTERS:
         return None
-    digest = bundle.hash_key(key)
-    found = None
-    for customer in known.customers:
-        for key_hash in customer.key_hashes:
-            if hmac.compare_digest(digest, key_hash):
-                found = customer
-    return found
+    return known.find_customer_by_key(key)
 
 
 class Authenticate(pipeline.Filter):
