Log the step and the peer of a refused request

Ruled out: logging the refusal's message, which may quote a caller's input. Before: no step or peer in the line.

--- a/packages/wagtailstream-entry/wagtailstream_entry/handlers.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/handlers.py
@@ -46,6 +46,22 @@
     describe: typing.Callable[[], responses.Json]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Result:
+    """How a request ended, for its log line."""
+
+    name: str
+    outcome: str
+    step: str = ""
+    peer: str = ""
+
+
+_COMPLETED = _Result("completed", errors.Outcome.COMPLETED.value)
+_CANCELLED = _Result(
+    errors.Reason.CANCELLED.value, errors.Outcome.UNKNOWN.value, STEP
+)
+
+
 class _Handler(web.RequestHandler):
     """Writes JSON and refusals."""
 
@@ -165,7 +181,7 @@
             counters.count(
                 metrics.Metric.REFUSED, errors.Reason.CANCELLED.value
             )
-            self._log_request(request, "cancelled", "unknown")
+            self._log_request(request, _CANCELLED)
             return None
         finally:
             self._context.open_requests.discard(self._request_id)
@@ -192,14 +208,22 @@
                     metrics.Metric.FIRST_TOKEN,
                     request.first_token_at - request.received_at,
                 )
-            self._log_request(request, "completed", "completed")
+            self._log_request(request, _COMPLETED)
             return
         refusal = verdict.error
         counters.count(metrics.Metric.REFUSED, refusal.reason.value)
-        self._log_request(request, refusal.reason.value, refusal.outcome.value)
+        self._log_request(
+            request,
+            _Result(
+                refusal.reason.value,
+                refusal.outcome.value,
+                refusal.step,
+                refusal.peer,
+            ),
+        )
 
     def _log_request(
-        self, request: exchange.Exchange, result: str, outcome: str
+        self, request: exchange.Exchange, result: "_Result"
     ) -> None:
         _REQUEST_LOGGER.info(
             "request",
@@ -209,8 +233,10 @@
                 "model": request.origin.model,
                 "version": request.origin.version,
                 "endpoint": request.origin.endpoint,
-                "result": result,
-                "outcome": outcome,
+                "result": result.name,
+                "outcome": result.outcome,
+                "step": result.step,
+                "peer": result.peer,
                 "attempts": request.attempt_count,
                 "seconds": round(time.time() - request.received_at, 4),
                 "offset": self._context.follower.state.offset,
