--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -6,6 +6,7 @@
 import signal
 import typing
 
+import expression
 import grpclib.server
 
 from wagtailstream_agent import (
@@ -19,6 +20,7 @@
     runner,
     settings,
     slots,
+    stall,
 )
 from wagtailstream_core import (
     clock,
@@ -28,16 +30,20 @@
     work,
 )
 from wagtailstream_platform import (
+    alarm,
     bill_outbox,
     factory,
     follower,
     log_client,
     metrics,
     reporter,
+    strike_board,
     tls,
 )
 
 DRAIN_POLL_SECONDS = 0.05
+# Entries hear of the drain before connections may close.
+DRAIN_NOTICE_SECONDS = 0.25
 FLUSH_LIMIT_SECONDS = 5.0
 
 _LOGGER = logging.getLogger(__name__)
@@ -70,6 +76,19 @@
         )
         self._slots = slots.Slots(agent_settings.slots, agent_settings.queue)
         self._results = results.ResultTable()
+        self._alarm = alarm.Alarm()
+        self._strikes = strike_board.StrikeBoard(
+            self._follower,
+            self._clock,
+            self._alarm,
+            self._metrics,
+            agent_settings.instance,
+        )
+        self._stall_watch = stall.StallWatch(
+            self._clock,
+            agent_settings.stall_seconds,
+            str(agent_settings.endpoint_url),
+        )
         self._loader: loader.Loader | None = None
         self._runner = self._make_runner()
         self._service = grpc_service.AgentService(
@@ -78,6 +97,8 @@
             self._outbox,
             self._results,
             self._make_heartbeat,
+            self._strikes,
+            self._alarm,
         )
         self._is_draining = False
         self._sequence = 0
@@ -111,12 +132,24 @@
             ),
             attempt,
         )
+        refusal = self._strikes.check(work.digest(attempt.work))
+        if verdict.is_ok() and refusal is not None:
+            verdict = expression.Error(refusal)
         if verdict.is_error():
             self._metrics.count(
                 metrics.Metric.REFUSED, verdict.error.reason.value
             )
         return verdict
 
+    def note_death(self, attempt: work.Attempt) -> None:
+        """Note that the endpoint died of an attempt.
+
+        :param attempt: the attempt.
+        """
+        self._strikes.note_death(
+            work.digest(attempt.work), self._settings.endpoint
+        )
+
     def _make_runner(self) -> runner.Runner:
         url = str(self._settings.endpoint_url)
         if self._settings.kind == "engine":
@@ -130,6 +163,7 @@
                 self._slots,
                 self._clock,
                 model_engine,
+                self._stall_watch,
             )
         service_runner = runner.ServiceRunner(
             self,
@@ -190,6 +224,7 @@
                 for v in (sorted(state.loaded) if state else ())
             ],
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            stalled=self._stall_watch.is_stalled,
         )
 
     def _read_gauges(self) -> reporter.Reading:
@@ -236,7 +271,9 @@
     async def _shut_down(self, server: grpclib.server.Server) -> None:
         """Refuse new work, let what runs end, flush the bills, stop."""
         self._is_draining = True
+        self._alarm.ring()
         _LOGGER.info("draining", extra={"open": self._service.open_count})
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         await self._wait_idle()
         server.close()
         await server.wait_closed()
--- a/packages/wagtailstream-agent/wagtailstream_agent/engine.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/engine.py
@@ -13,6 +13,7 @@
 from wagtailstream_core import configuration, errors, work
 
 ORDER_TIMEOUT_SECONDS = 5.0
+CANCEL_TIMEOUT_SECONDS = 0.5
 GENERATE_TIMEOUT_SECONDS = 3600.0
 _MAX_CLIENTS = 4096
 _CONFLICT = 409
@@ -27,6 +28,14 @@
     """The engine's queue is full; nothing ran."""
 
 
+class NotSentError(errors.PeerError):
+    """The engine was not reached; nothing ran."""
+
+
+class LostError(errors.PeerError):
+    """The connection broke; the engine may have died under the work."""
+
+
 @dataclasses.dataclass(frozen=True)
 class Token:
     """One generated token with its place in the answer."""
@@ -71,6 +80,8 @@
         :param model_work: what to generate.
         :raises NotLoadedError: the version is not loaded.
         :raises BusyError: the engine's queue is full.
+        :raises NotSentError: the engine was not reached.
+        :raises LostError: the connection broke.
         :raises errors.PeerError: the engine failed; it may have run.
         """
 
@@ -137,6 +148,8 @@
         :param model_work: what to generate.
         :raises NotLoadedError: the version is not loaded.
         :raises BusyError: the engine's queue is full.
+        :raises NotSentError: the engine was not reached.
+        :raises LostError: the connection broke.
         :raises errors.PeerError: the engine failed; it may have run.
         """
         lines = _LineQueue()
@@ -170,10 +183,10 @@
             return
         try:
             code = fetch.result().code
+        except ConnectionRefusedError as error:
+            raise NotSentError("generate", self._url, "refused") from error
         except (httpclient.HTTPError, OSError) as error:
-            raise errors.PeerError(
-                "generate", self._url, str(error)
-            ) from error
+            raise LostError("generate", self._url, str(error)) from error
         if code == _CONFLICT:
             raise NotLoadedError("generate", self._url, "not loaded")
         if code == _BUSY:
@@ -182,7 +195,9 @@
 
     async def _cancel(self, request_id: str) -> None:
         with contextlib.suppress(errors.PeerError):
-            await self._post("cancel", {"request_id": request_id})
+            await self._post(
+                "cancel", {"request_id": request_id}, CANCEL_TIMEOUT_SECONDS
+            )
 
     async def fetch_state(self) -> EngineState:
         """Return the engine's state.
@@ -228,13 +243,18 @@
             },
         )
 
-    async def _post(self, path: str, body: dict[str, str | int]) -> None:
+    async def _post(
+        self,
+        path: str,
+        body: dict[str, str | int],
+        seconds: float = ORDER_TIMEOUT_SECONDS,
+    ) -> None:
         try:
             await self._client.fetch(
                 f"{self._url}/{path}",
                 method="POST",
                 body=orjson.dumps(body),
-                request_timeout=ORDER_TIMEOUT_SECONDS,
+                request_timeout=seconds,
             )
         except (httpclient.HTTPError, OSError) as error:
             raise errors.PeerError(path, self._url, str(error)) from error
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -19,7 +19,14 @@
     wire_grpc,
     wire_pb2,
 )
-from wagtailstream_platform import auth, bill_outbox, follower, metrics
+from wagtailstream_platform import (
+    alarm,
+    auth,
+    bill_outbox,
+    follower,
+    metrics,
+    strike_board,
+)
 
 SILENCE_SECONDS = 5.0
 LINK_METADATA_KEY = "wagtail-link"
@@ -48,6 +55,8 @@
     :param outbox: holds bills until they are durable.
     :param result_table: keeps the results of claimed requests.
     :param make_heartbeat: returns this agent's present state.
+    :param strikes: the strikes that this agent knows.
+    :param news_alarm: rings when a heartbeat should not wait.
     """
 
     def __init__(
@@ -57,12 +66,16 @@
         outbox: bill_outbox.BillOutbox,
         result_table: results.ResultTable,
         make_heartbeat: HeartbeatMaker,
+        strikes: strike_board.StrikeBoard,
+        news_alarm: alarm.Alarm,
     ) -> None:
         self._runner = attempt_runner
         self._follower = config_follower
         self._outbox = outbox
         self._results = result_table
         self._make_heartbeat = make_heartbeat
+        self._strikes = strikes
+        self._alarm = news_alarm
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
             collections.defaultdict(set)
         )
@@ -150,21 +163,44 @@
         :param stream: the entry's heartbeats in, this agent's out.
         """
         link = _find_link(stream)
-        try:
-            while True:
-                async with asyncio.timeout(SILENCE_SECONDS):
-                    message = await stream.recv_message()
-                if message is None:
-                    break
-                self._take_heartbeat(message)
-                await stream.send_message(self._make_heartbeat())
-        except TimeoutError:
-            _LOGGER.info("entry went silent", extra={"peer": link})
-        finally:
-            for task in list(self._executions.get(link, ())):
-                task.cancel()
+        with self._alarm.subscribe() as is_due:
+            sender = asyncio.ensure_future(
+                self._send_heartbeats(stream, is_due)
+            )
+            try:
+                await self._receive_heartbeats(stream, is_due)
+            except TimeoutError:
+                _LOGGER.info("entry went silent", extra={"peer": link})
+            finally:
+                sender.cancel()
+                for task in list(self._executions.get(link, ())):
+                    task.cancel()
+
+    async def _receive_heartbeats(
+        self, stream: WatchStream, is_due: asyncio.Event
+    ) -> None:
+        while True:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                message = await stream.recv_message()
+            if message is None:
+                return
+            self._take_heartbeat(message)
+            is_due.set()
+
+    async def _send_heartbeats(
+        self, stream: WatchStream, is_due: asyncio.Event
+    ) -> None:
+        """Answer each heartbeat, and send one when there is news."""
+        position = 0
+        while True:
+            await is_due.wait()
+            is_due.clear()
+            message = self._make_heartbeat()
+            position = self._strikes.fill(message, position)
+            await stream.send_message(message)
 
     def _take_heartbeat(self, message: wire_pb2.Heartbeat) -> None:
+        self._strikes.take(message)
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
--- a/packages/wagtailstream-agent/wagtailstream_agent/plain_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/plain_service.py
@@ -15,6 +15,10 @@
     """The call never reached the service; nothing ran."""
 
 
+class LostError(errors.PeerError):
+    """The connection broke; the service may have died under the call."""
+
+
 @dataclasses.dataclass(frozen=True)
 class ServiceAnswer:
     """A service's whole answer."""
@@ -36,6 +40,7 @@
         :param service_work: the operation and its body.
         :param seconds: how long to wait for the answer.
         :raises NotSentError: the service was not reached.
+        :raises LostError: the connection broke; the call may have run.
         :raises errors.PeerError: no answer came; the call may have run.
         """
 
@@ -61,6 +66,7 @@
         :param service_work: the operation and its body.
         :param seconds: how long to wait for the answer.
         :raises NotSentError: the service was not reached.
+        :raises LostError: the connection broke; the call may have run.
         :raises errors.PeerError: no answer came; the call may have run.
         """
         has_body = service_work.method != "GET"
@@ -80,6 +86,8 @@
             response = await self._client.fetch(request, raise_error=False)
         except ConnectionRefusedError as error:
             raise NotSentError("call", self._url, "refused") from error
-        except (httpclient.HTTPError, OSError) as error:
+        except simple_httpclient.HTTPTimeoutError as error:
             raise errors.PeerError("call", self._url, str(error)) from error
+        except (httpclient.HTTPError, OSError) as error:
+            raise LostError("call", self._url, str(error)) from error
         return ServiceAnswer(response.code, response.body)
--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -15,6 +15,8 @@
     plain_service,
     results,
     slots,
+    stall,
+    trial,
 )
 from wagtailstream_core import (
     assembly,
@@ -67,6 +69,13 @@
         :param attempt: the attempt.
         """
 
+    @abc.abstractmethod
+    def note_death(self, attempt: work.Attempt) -> None:
+        """Note that the endpoint died of an attempt.
+
+        :param attempt: the attempt.
+        """
+
 
 class Meter:
     """What an attempt has used so far; billed if nobody else settles it.
@@ -98,6 +107,7 @@
         self._endpoint = endpoint
         self._slots = endpoint_slots
         self._clock = system_clock
+        self._trials = trial.TrialRoom(endpoint_slots, system_clock)
 
     async def run(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -117,9 +127,11 @@
                 gate.FULL_RETRY_SECONDS,
             )
         await self._acquire(attempt)
+        self._trials.enter(attempt)
         try:
             await self._run_in_slot(attempt, emit, meter)
         finally:
+            self._trials.leave(attempt)
             self._slots.release()
 
     async def _acquire(self, attempt: work.Attempt) -> None:
@@ -127,7 +139,7 @@
             async with asyncio.timeout(
                 max(0.0, attempt.deadline - self._clock.wall())
             ):
-                await self._slots.acquire(attempt.priority)
+                await self._slots.acquire(attempt.priority, attempt.is_suspect)
         except TimeoutError as error:
             raise self._abort(
                 errors.Reason.DEADLINE_PAST,
@@ -154,16 +166,28 @@
             errors.not_run(reason, message, "run", self._keeper.name, retry_at)
         )
 
-    def _abort_unknown(self, message: str) -> AttemptAbortedError:
+    def _abort_unknown(
+        self,
+        message: str,
+        reason: errors.Reason = errors.Reason.ENDPOINT_FAILED,
+    ) -> AttemptAbortedError:
         return AttemptAbortedError(
-            errors.unknown(
-                errors.Reason.ENDPOINT_FAILED,
-                message,
-                "run",
-                self._keeper.name,
-            )
+            errors.unknown(reason, message, "run", self._keeper.name)
         )
 
+    async def _abort_lost(
+        self, attempt: work.Attempt, error: errors.PeerError
+    ) -> AttemptAbortedError:
+        """Judge whether the endpoint died, and of which attempt."""
+        is_blamed = self._trials.judge_death(attempt)
+        if is_blamed and await trial.is_dead(error.peer):
+            self._keeper.note_death(attempt)
+            return self._abort_unknown(
+                "the endpoint died under the request",
+                errors.Reason.ENDPOINT_LOST,
+            )
+        return self._abort_unknown(f"the endpoint gave no answer: {error}")
+
     @abc.abstractmethod
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -178,6 +202,7 @@
     :param endpoint_slots: admits attempts.
     :param system_clock: tells the time.
     :param model_engine: the engine.
+    :param stall_watch: watches the engine's progress.
     """
 
     def __init__(
@@ -187,9 +212,11 @@
         endpoint_slots: slots.Slots,
         system_clock: clock.Clock,
         model_engine: engine.Engine,
+        stall_watch: stall.StallWatch,
     ) -> None:
         super().__init__(keeper, endpoint, endpoint_slots, system_clock)
         self._engine = model_engine
+        self._stall_watch = stall_watch
 
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -215,6 +242,19 @@
                 "the engine's queue is full",
                 gate.FULL_RETRY_SECONDS,
             ) from error
+        except engine.NotSentError as error:
+            meter.cost = None
+            raise self._abort(
+                errors.Reason.ENDPOINT_FAILED,
+                "the engine can't be reached",
+                gate.LOAD_RETRY_SECONDS,
+            ) from error
+        except engine.LostError as error:
+            raise await self._abort_lost(attempt, error) from error
+        except stall.StalledError as error:
+            raise self._abort_unknown(
+                "the engine made no progress", errors.Reason.ENDPOINT_STALLED
+            ) from error
         except (errors.PeerError, TimeoutError) as error:
             raise self._abort_unknown(f"the engine failed: {error}") from error
 
@@ -238,8 +278,13 @@
         digest = hashlib.sha256()
         tokens = 0
         stream = self._engine.generate(attempt, model_work)
-        async with contextlib.aclosing(stream):
+        async with (
+            contextlib.aclosing(stream),
+            self._stall_watch.guard(),
+        ):
             async for item in stream:
+                self._stall_watch.note_progress()
+                self._trials.leave(attempt)
                 if isinstance(item, engine.Done):
                     await self._end(attempt, item, digest, emit, meter)
                     return
@@ -439,6 +484,8 @@
                     claim.request_id, errors.Outcome.UNKNOWN, False
                 ),
             )
+            if isinstance(error, plain_service.LostError):
+                raise await self._abort_lost(attempt, error) from error
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
             ) from error
@@ -537,6 +584,8 @@
                 "the service can't be reached",
                 gate.LOAD_RETRY_SECONDS,
             ) from error
+        except plain_service.LostError as error:
+            raise await self._abort_lost(attempt, error) from error
         except errors.PeerError as error:
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
--- a/packages/wagtailstream-agent/wagtailstream_agent/slots.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/slots.py
@@ -13,11 +13,16 @@
     rank: int
     order: int
     admitted: asyncio.Future[None] = dataclasses.field(compare=False)
+    is_suspect: bool = dataclasses.field(compare=False, default=False)
 
 
 class Slots:
     """A bounded number of slots with a bounded priority queue.
 
+    An attempt under whose body an endpoint died before is a suspect. One
+    suspect at a time is on trial, until its first sign of progress; the
+    others wait. So a death tells which of them it was.
+
     :param count: how many attempts run at once.
     :param queue: how many may wait.
     """
@@ -26,6 +31,7 @@
         self._count = count
         self._queue = queue
         self._running = 0
+        self._is_trial_open = True
         self._waiters: list[_Waiter] = []
         self._order = itertools.count()
 
@@ -57,19 +63,23 @@
         self._count = count
         self._admit()
 
-    async def acquire(self, priority: int) -> None:
+    async def acquire(self, priority: int, is_suspect: bool = False) -> None:
         """Wait for a slot; cancelling gives the place up.
 
         :param priority: higher goes first.
+        :param is_suspect: whether to wait for the trial too; its holder
+            calls :meth:`end_trial`.
         """
         future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(-priority, next(self._order), future)
+        waiter = _Waiter(-priority, next(self._order), future, is_suspect)
         heapq.heappush(self._waiters, waiter)
         self._admit()
         try:
             await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():
+                if is_suspect:
+                    self.end_trial()
                 self.release()
             raise
 
@@ -78,9 +88,23 @@
         self._running -= 1
         self._admit()
 
+    def end_trial(self) -> None:
+        """Let the next suspect in."""
+        self._is_trial_open = True
+        self._admit()
+
     def _admit(self) -> None:
+        held_back: list[_Waiter] = []
         while self._waiters and self._running < self._count:
             waiter = heapq.heappop(self._waiters)
-            if not waiter.admitted.done():
-                self._running += 1
-                waiter.admitted.set_result(None)
+            if waiter.admitted.done():
+                continue
+            if waiter.is_suspect and not self._is_trial_open:
+                held_back.append(waiter)
+                continue
+            if waiter.is_suspect:
+                self._is_trial_open = False
+            self._running += 1
+            waiter.admitted.set_result(None)
+        for waiter in held_back:
+            heapq.heappush(self._waiters, waiter)
--- a/packages/wagtailstream-core/wagtailstream_core/errors.py
+++ b/packages/wagtailstream-core/wagtailstream_core/errors.py
@@ -26,6 +26,8 @@
     DRAINING = "draining"
     ENDPOINT_FAILED = "endpoint-failed"
     ENDPOINT_FULL = "endpoint-full"
+    ENDPOINT_LOST = "endpoint-lost"
+    ENDPOINT_STALLED = "endpoint-stalled"
     IDEMPOTENCY_KEY_INVALID = "idempotency-key-invalid"
     IDEMPOTENCY_KEY_MISSING = "idempotency-key-missing"
     IDEMPOTENCY_KEY_STALE = "idempotency-key-stale"
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/strikes.py
@@ -0,0 +1,202 @@
+"""Counts the endpoints that died under a request's body.
+
+Each request in flight at an endpoint that dies gets a strike; an answer
+clears the strikes before it. Instances exchange both; merging them is
+commutative and idempotent, so that all reach the same count in any order.
+"""
+
+import collections.abc
+import dataclasses
+
+# Strikes on one endpoint that are closer together tell of the same death.
+SAME_DEATH_SECONDS = 5.0
+MAX_DIGESTS = 2048
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Strike:
+    """An endpoint died while it ran a request of a body digest.
+
+    :param struck_at: Unix time in seconds.
+    """
+
+    digest: str
+    endpoint: str
+    struck_at: float
+
+
+@dataclasses.dataclass(frozen=True, order=True)
+class Clearing:
+    """A request of a body digest was answered.
+
+    :param cleared_at: Unix time in seconds.
+    """
+
+    digest: str
+    cleared_at: float
+
+
+News = Strike | Clearing
+
+
+@dataclasses.dataclass(frozen=True)
+class Part:
+    """News after a position of a table, and the position reached."""
+
+    news: tuple[News, ...]
+    position: int
+
+
+def count_deaths(struck: collections.abc.Iterable[Strike]) -> int:
+    """Return how many deaths of endpoints some strikes tell of.
+
+    :param struck: strikes of one digest.
+    """
+    deaths = 0
+    last: Strike | None = None
+    for strike in sorted(struck, key=lambda s: (s.endpoint, s.struck_at)):
+        if (
+            last is None
+            or strike.endpoint != last.endpoint
+            or strike.struck_at - last.struck_at > SAME_DEATH_SECONDS
+        ):
+            deaths += 1
+            last = strike
+    return deaths
+
+
+class StrikeTable:
+    """The strikes that count now, by digest.
+
+    :param capacity: how many digests are kept; the oldest go first.
+    """
+
+    def __init__(self, capacity: int = MAX_DIGESTS) -> None:
+        self._capacity = capacity
+        self._strikes: dict[str, set[Strike]] = {}
+        self._cleared_at: dict[str, float] = {}
+        self._position = 0
+        self._changes: dict[News, int] = {}
+
+    @property
+    def position(self) -> int:
+        """A number that rises with each change."""
+        return self._position
+
+    def merge(self, news: collections.abc.Iterable[News]) -> bool:
+        """Take in strikes and clearings; return whether any was new.
+
+        :param news: in any order; repeats change nothing.
+        """
+        before = self._position
+        for item in news:
+            if isinstance(item, Strike):
+                self._add(item)
+            else:
+                self._clear(item)
+        self._bound()
+        return self._position > before
+
+    def _add(self, strike: Strike) -> None:
+        known = self._strikes.get(strike.digest, set())
+        cleared_at = self._cleared_at.get(strike.digest)
+        if strike in known:
+            return
+        if cleared_at is not None and strike.struck_at <= cleared_at:
+            return
+        self._strikes.setdefault(strike.digest, set()).add(strike)
+        self._note(strike)
+
+    def _clear(self, clearing: Clearing) -> None:
+        digest = clearing.digest
+        known = self._cleared_at.get(digest)
+        if known is not None and known >= clearing.cleared_at:
+            return
+        if known is not None:
+            self._changes.pop(Clearing(digest, known), None)
+        self._cleared_at[digest] = clearing.cleared_at
+        for strike in list(self._strikes.get(digest, ())):
+            if strike.struck_at <= clearing.cleared_at:
+                self._drop(strike)
+        self._note(clearing)
+
+    def _drop(self, strike: Strike) -> None:
+        self._changes.pop(strike, None)
+        kept = self._strikes[strike.digest]
+        kept.discard(strike)
+        if not kept:
+            del self._strikes[strike.digest]
+
+    def _note(self, item: News) -> None:
+        self._position += 1
+        self._changes[item] = self._position
+
+    def _bound(self) -> None:
+        while len(self._strikes) > self._capacity:
+            for strike in list(self._strikes[next(iter(self._strikes))]):
+                self._drop(strike)
+        while len(self._cleared_at) > self._capacity:
+            digest = next(iter(self._cleared_at))
+            cleared_at = self._cleared_at.pop(digest)
+            self._changes.pop(Clearing(digest, cleared_at), None)
+
+    def find_strikes(self, digest: str) -> frozenset[Strike]:
+        """Return the strikes that count against a digest.
+
+        :param digest: the body's digest.
+        """
+        return frozenset(self._strikes.get(digest, ()))
+
+    def count_deaths(self, digest: str) -> int:
+        """Return how many endpoints died under a digest.
+
+        :param digest: the body's digest.
+        """
+        return count_deaths(self._strikes.get(digest, ()))
+
+    def find_quarantine_end(
+        self, digest: str, limit: int, seconds: float
+    ) -> float | None:
+        """Return until when a digest is refused, or None if it is not.
+
+        :param digest: the body's digest.
+        :param limit: the deaths after which it is refused.
+        :param seconds: how long it is refused after the last death.
+        """
+        if self.count_deaths(digest) < limit:
+            return None
+        return max(s.struck_at for s in self._strikes[digest]) + seconds
+
+    def read_since(self, position: int, limit: int) -> Part:
+        """Return the changes after a position, the earliest first.
+
+        :param position: as returned before; 0 asks for all.
+        :param limit: how many changes at most.
+        """
+        found = (
+            sorted(
+                (at, item)
+                for item, at in self._changes.items()
+                if at > position
+            )
+            if position < self._position
+            else []
+        )
+        if len(found) <= limit:
+            return Part(tuple(item for _, item in found), self._position)
+        part = found[:limit]
+        return Part(tuple(item for _, item in part), part[-1][0])
+
+    def forget(self, before: float) -> None:
+        """Drop what is older than a time.
+
+        :param before: Unix time in seconds.
+        """
+        for struck in list(self._strikes.values()):
+            for strike in list(struck):
+                if strike.struck_at < before:
+                    self._drop(strike)
+        for digest, cleared_at in list(self._cleared_at.items()):
+            if cleared_at < before:
+                del self._cleared_at[digest]
+                self._changes.pop(Clearing(digest, cleared_at), None)
--- a/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
@@ -8,6 +8,7 @@
     configuration,
     errors,
     freshness,
+    strikes,
     wire_pb2,
     work,
 )
@@ -48,6 +49,7 @@
         configuration_offset=attempt.configuration_offset,
         deadline_unix_ms=to_milliseconds(attempt.deadline),
         priority=attempt.priority,
+        suspect=attempt.is_suspect,
     )
     match attempt.work:
         case work.ModelWork() as model:
@@ -92,6 +94,7 @@
         to_seconds(start.deadline_unix_ms),
         start.priority,
         _decode_work(start),
+        start.suspect,
     )
 
 
@@ -357,3 +360,41 @@
         )
         for record in message.records
     ]
+
+
+def add_strikes(
+    message: wire_pb2.Heartbeat,
+    news: collections.abc.Iterable[strikes.News],
+) -> None:
+    """Put news of strikes into a heartbeat.
+
+    :param message: the heartbeat.
+    :param news: strikes and clearings.
+    """
+    for item in news:
+        if isinstance(item, strikes.Strike):
+            message.strikes.add(
+                digest=item.digest,
+                endpoint=item.endpoint,
+                struck_unix_ms=to_milliseconds(item.struck_at),
+            )
+        else:
+            message.clearings.add(
+                digest=item.digest,
+                cleared_unix_ms=to_milliseconds(item.cleared_at),
+            )
+
+
+def decode_strikes(message: wire_pb2.Heartbeat) -> list[strikes.News]:
+    """Return the news of strikes in a heartbeat.
+
+    :param message: the heartbeat.
+    """
+    struck: list[strikes.News] = [
+        strikes.Strike(s.digest, s.endpoint, to_seconds(s.struck_unix_ms))
+        for s in message.strikes
+    ]
+    return struck + [
+        strikes.Clearing(c.digest, to_seconds(c.cleared_unix_ms))
+        for c in message.clearings
+    ]
--- a/packages/wagtailstream-core/wagtailstream_core/work.py
+++ b/packages/wagtailstream-core/wagtailstream_core/work.py
@@ -41,6 +41,7 @@
     :param configuration_offset: of the entry that sent it.
     :param deadline: Unix time in seconds.
     :param priority: higher goes first.
+    :param is_suspect: whether an endpoint died under this body before.
     """
 
     request_id: str
@@ -50,6 +51,7 @@
     deadline: float
     priority: int
     work: ModelWork | ServiceWork
+    is_suspect: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -12,6 +12,7 @@
 from wagtailstream_core import clock, freshness, wire_codec, wire_pb2
 from wagtailstream_entry import (
     authenticate,
+    connection,
     current,
     deadline,
     dispatch,
@@ -21,6 +22,7 @@
     links,
     parse_chat,
     pipeline,
+    quarantine,
     rating,
     responses,
     resume_session,
@@ -30,12 +32,14 @@
     settle,
 )
 from wagtailstream_platform import (
+    alarm,
     bill_outbox,
     factory,
     follower,
     instance_list,
     log_client,
     reporter,
+    strike_board,
     tls,
 )
 
@@ -75,13 +79,25 @@
             entry_settings.bill_window_seconds,
             self._metrics,
         )
+        self._alarm = alarm.Alarm()
+        strikes = strike_board.StrikeBoard(
+            self._follower,
+            self._clock,
+            self._alarm,
+            self._metrics,
+            entry_settings.instance,
+        )
         self._table = links.LinkTable(
             instance_list.HttpInstanceList(str(platform.instances)),
             self._follower,
             factory.make_authenticator(entry_settings),
             self._clock,
-            self._make_heartbeat,
-            entry_settings.heartbeat_seconds,
+            connection.WatchSettings(
+                entry_settings.heartbeat_seconds,
+                self._make_heartbeat,
+                strikes,
+                self._alarm,
+            ),
             entry_settings.refresh_seconds,
             tls.make_client_context(entry_settings.tls),
         )
@@ -92,6 +108,13 @@
             random.Random(),
             self._metrics,
             entry_settings.instance,
+            quarantine.Quarantine(
+                strikes,
+                self._log,
+                self._follower,
+                entry_settings.load_fleet_signer(),
+                self._clock,
+            ),
         )
         self._settle = settle.Settle(
             self._outbox, self._clock, entry_settings.instance
@@ -279,6 +302,7 @@
     ) -> None:
         """Refuse new work, let what runs end, flush the bills, stop."""
         self._is_draining = True
+        self._alarm.ring()
         _LOGGER.info("draining", extra={"open": len(self._open_requests)})
         await self._wait_idle()
         server.stop()
--- a/packages/wagtailstream-entry/wagtailstream_entry/connection.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import dataclasses
 import ssl
 import uuid
 
@@ -16,7 +17,7 @@
 import grpclib.exceptions
 
 from wagtailstream_core import errors, wire_codec, wire_grpc, wire_pb2, work
-from wagtailstream_platform import auth
+from wagtailstream_platform import alarm, auth, strike_board
 
 SILENCE_SECONDS = 3.0
 CALL_TIMEOUT_SECONDS = 3.0
@@ -31,12 +32,29 @@
     asyncio.TimeoutError,
 )
 
+WatchStream = grpclib.client.Stream[wire_pb2.Heartbeat, wire_pb2.Heartbeat]
 HeartbeatMaker = collections.abc.Callable[[], wire_pb2.Heartbeat]
 HeartbeatTaker = collections.abc.Callable[
     ["Connection", wire_pb2.Heartbeat], None
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class WatchSettings:
+    """How a connection is watched.
+
+    :param interval_seconds: the time between heartbeats.
+    :param make_heartbeat: returns this entry's present state.
+    :param strikes: the strikes that this entry knows.
+    :param news_alarm: rings when a heartbeat should not wait.
+    """
+
+    interval_seconds: float
+    make_heartbeat: HeartbeatMaker
+    strikes: strike_board.StrikeBoard
+    news_alarm: alarm.Alarm
+
+
 class NotSentError(errors.PeerError):
     """The attempt never left; nothing ran."""
 
@@ -63,6 +81,12 @@
         self._link = uuid.uuid4().hex
         self._in_flight = 0
         self._is_closed = False
+        self._has_heard = False
+
+    @property
+    def has_heard(self) -> bool:
+        """Whether a heartbeat of the agent came over this connection."""
+        return self._has_heard
 
     @property
     def in_flight(self) -> int:
@@ -86,30 +110,47 @@
         return metadata
 
     async def watch(
-        self,
-        interval_seconds: float,
-        make_heartbeat: HeartbeatMaker,
-        take_heartbeat: HeartbeatTaker,
+        self, watch_settings: WatchSettings, take_heartbeat: HeartbeatTaker
     ) -> None:
         """Exchange heartbeats until the connection fails or goes silent.
 
-        :param interval_seconds: the time between heartbeats.
-        :param make_heartbeat: returns this entry's present state.
+        :param watch_settings: how to watch.
         :param take_heartbeat: takes the agent's state.
         """
-        with contextlib.suppress(*FAULTS):
-            async with self._stub.Watch.open(
-                metadata=self._make_metadata("Watch")
-            ) as stream:
-                while True:
+        try:
+            with contextlib.suppress(*FAULTS):
+                async with self._stub.Watch.open(
+                    metadata=self._make_metadata("Watch")
+                ) as stream:
                     async with asyncio.timeout(SILENCE_SECONDS):
-                        await stream.send_message(make_heartbeat())
-                        reply = await stream.recv_message()
-                    if reply is None:
-                        break
-                    take_heartbeat(self, reply)
-                    await asyncio.sleep(interval_seconds)
-        self.close()
+                        await stream.send_request()
+                    await self._exchange(
+                        stream, watch_settings, take_heartbeat
+                    )
+        finally:
+            self.close()
+
+    async def _exchange(
+        self,
+        stream: WatchStream,
+        watch_settings: WatchSettings,
+        take_heartbeat: HeartbeatTaker,
+    ) -> None:
+        sender = asyncio.ensure_future(
+            _send_heartbeats(stream, watch_settings)
+        )
+        try:
+            while True:
+                async with asyncio.timeout(SILENCE_SECONDS):
+                    reply = await stream.recv_message()
+                if reply is None:
+                    return
+                self._has_heard = True
+                watch_settings.strikes.take(reply)
+                take_heartbeat(self, reply)
+        finally:
+            sender.cancel()
+            await asyncio.gather(sender, return_exceptions=True)
 
     async def push_configuration(
         self, message: wire_pb2.ConfigurationRecords
@@ -192,6 +233,21 @@
         self._in_flight -= 1
 
 
+async def _send_heartbeats(
+    stream: WatchStream, watch_settings: WatchSettings
+) -> None:
+    position = 0
+    with watch_settings.news_alarm.subscribe() as has_news:
+        while True:
+            message = watch_settings.make_heartbeat()
+            position = watch_settings.strikes.fill(message, position)
+            await stream.send_message(message)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(watch_settings.interval_seconds):
+                    await has_news.wait()
+            has_news.clear()
+
+
 class Run:
     """An attempt under way at an agent.
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -17,7 +17,7 @@
     routing,
     work,
 )
-from wagtailstream_entry import connection, exchange, links
+from wagtailstream_entry import connection, exchange, links, quarantine
 from wagtailstream_platform import metrics
 
 STEP = "dispatch"
@@ -36,6 +36,8 @@
         errors.Reason.DRAINING,
         errors.Reason.ENDPOINT_FAILED,
         errors.Reason.ENDPOINT_FULL,
+        errors.Reason.ENDPOINT_LOST,
+        errors.Reason.ENDPOINT_STALLED,
         errors.Reason.NO_CONFIGURATION,
         errors.Reason.NOT_LOADED,
     }
@@ -103,6 +105,7 @@
     :param rng: draws the endpoints to compare.
     :param counters: takes the counts.
     :param peer: this instance's name, for refusals.
+    :param quarantined: judges bodies under which endpoints died.
     """
 
     def __init__(
@@ -113,6 +116,7 @@
         rng: random.Random,
         counters: metrics.Metrics,
         peer: str,
+        quarantined: quarantine.Quarantine,
     ) -> None:
         self._table = table
         self._data_centre = data_centre
@@ -120,6 +124,7 @@
         self._rng = rng
         self._metrics = counters
         self._peer = peer
+        self._quarantine = quarantined
         self._budget = RetryBudget(system_clock)
 
     @property
@@ -163,6 +168,9 @@
         return self._budget.take(job.customer)
 
     async def _try_once(self, job: "_Job") -> Outcome:
+        refusal = self._quarantine.check(job.digest)
+        if refusal is not None:
+            return expression.Error(refusal)
         link = self._choose(job)
         if link is None:
             job.exhausted = job.last_refusal or self._refuse_none()
@@ -171,17 +179,21 @@
         try:
             outcome = await self._attempt(job, link)
         except errors.PeerError as error:
-            outcome = expression.Error(self._describe_failure(link, error))
+            refused = await self._describe_failure(job, link, error)
+            outcome = expression.Error(refused)
         if outcome.is_error():
             await self._note_refused(job, link, outcome.error)
         return outcome
 
-    def _describe_failure(
-        self, link: links.AgentLink, error: errors.PeerError
+    async def _describe_failure(
+        self, job: "_Job", link: links.AgentLink, error: errors.PeerError
     ) -> errors.Refusal:
         was_sent = not isinstance(error, connection.NotSentError)
+        is_lost = job.is_accepted and not await link.is_alive()
         return errors.Refusal(
-            errors.Reason.ENDPOINT_FAILED,
+            errors.Reason.ENDPOINT_LOST
+            if is_lost
+            else errors.Reason.ENDPOINT_FAILED,
             errors.Outcome.UNKNOWN if was_sent else errors.Outcome.NOT_RUN,
             "the endpoint failed",
             error.step,
@@ -243,7 +255,9 @@
             request.deadline,
             request.customer.priority if request.customer else 0,
             job.make_work(position),
+            self._quarantine.is_suspect(job.digest),
         )
+        job.is_accepted = False
         job.unresolved += 1
         run = await link.open_run(attempt)
         try:
@@ -278,6 +292,7 @@
             answer = await run.next_answer()
             match answer:
                 case work.Accepted():
+                    job.is_accepted = True
                     await self._note_accepted(job, link, answer)
                 case assembly.Chunk():
                     await job.write(job.assembler.add(answer), self._clock)
@@ -289,6 +304,7 @@
                     return expression.Error(answer.refusal)
             if ended is not None and job.assembler.is_complete:
                 endpoint = link.state.endpoint if link.state else ""
+                self._quarantine.note_answer(job.digest)
                 return expression.Ok(Completed(ended, run, endpoint))
 
     async def _note_accepted(
@@ -318,6 +334,12 @@
                 link.note_draining()
             case errors.Reason.ENDPOINT_FAILED:
                 link.note_failure()
+            case errors.Reason.ENDPOINT_STALLED:
+                link.note_failure()
+            case errors.Reason.ENDPOINT_LOST:
+                link.note_failure()
+                endpoint = link.state.endpoint if link.state else ""
+                await self._quarantine.note_death(job.digest, endpoint)
         job.tried.add(link.address)
 
 
@@ -393,6 +415,9 @@
         self.assembler = assembly.Assembler(request.request_id)
         self.tried: set[str] = set()
         self.attempts = 0
+        self.digest = work.digest(make_work(0))
+        # Whether the present attempt's agent said that it dispatches it.
+        self.is_accepted = False
         # Attempts of which it is not known that they did not run.
         self.unresolved = 0
         self.last_refusal: errors.Refusal | None = None
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -20,11 +20,12 @@
     work,
 )
 from wagtailstream_entry import connection
-from wagtailstream_platform import auth, follower, instance_list
+from wagtailstream_platform import alarm, auth, follower, instance_list
 
 MAX_RUNS_PER_CONNECTION = 80
 REDIAL_SECONDS = 0.25
 SUSPECT_SECONDS = 3.0
+PROBE_SECONDS = 0.5
 FORGET_SECONDS = 30.0
 
 _LOGGER = logging.getLogger(__name__)
@@ -47,6 +48,8 @@
     slots: int
     loaded: frozenset[configuration.ModelVersion]
     heard_at: float
+    sequence: int = 0
+    is_stalled: bool = False
 
 
 class AgentLink:
@@ -64,6 +67,8 @@
         self._state: AgentState | None = None
         self._is_listed_leaving = False
         self._failed_at = -SUSPECT_SECONDS
+        self._has_heard = alarm.Alarm()
+        self._probe: asyncio.Future[bool] | None = None
         self._keeper = asyncio.ensure_future(self._keep_connected())
 
     @property
@@ -99,6 +104,7 @@
         return (
             now - self._failed_at < SUSPECT_SECONDS
             or now - heard_at > SUSPECT_SECONDS
+            or (self._state is not None and self._state.is_stalled)
         )
 
     def set_listed_leaving(self, is_leaving: bool) -> None:
@@ -125,6 +131,31 @@
         """
         return await self._pick_connection().open_run(attempt)
 
+    async def is_alive(self) -> bool:
+        """Return whether the agent still runs, over a new connection.
+
+        Asked after a connection failed, which may be the fault of something
+        between the two ends.
+        """
+        if self._probe is None or self._probe.done():
+            self._probe = asyncio.ensure_future(self._probe_once())
+        return await asyncio.shield(self._probe)
+
+    async def _probe_once(self) -> bool:
+        before = self._state.sequence if self._state else 0
+        with self._has_heard.subscribe() as has_heard:
+            dialled = self._dial()
+            try:
+                async with asyncio.timeout(PROBE_SECONDS):
+                    while not dialled.has_heard and not dialled.is_closed:
+                        await has_heard.wait()
+                        has_heard.clear()
+            except TimeoutError:
+                dialled.close()
+                return False
+        after = self._state.sequence if self._state else 0
+        return dialled.has_heard and after > before
+
     def pick_any(self) -> connection.Connection:
         """Return an open connection.
 
@@ -151,8 +182,11 @@
         return dialled
 
     async def _watch(self, dialled: connection.Connection) -> None:
-        await self._table.watch(dialled, self._take_heartbeat)
-        self._connections.remove(dialled)
+        try:
+            await self._table.watch(dialled, self._take_heartbeat)
+        finally:
+            self._connections.remove(dialled)
+            self._has_heard.ring()
 
     async def _keep_connected(self) -> None:
         while True:
@@ -177,7 +211,10 @@
                 for v in message.loaded
             ),
             self._table.clock.monotonic(),
+            message.sequence,
+            message.stalled,
         )
+        self._has_heard.ring()
         self._table.take_heartbeat(self, source, message)
 
     async def push_configuration(self) -> bool:
@@ -223,8 +260,7 @@
     :param config_follower: holds the configuration in force.
     :param authenticator: makes the credentials of calls.
     :param system_clock: tells the time.
-    :param make_heartbeat: returns this entry's present state.
-    :param heartbeat_seconds: the time between heartbeats.
+    :param watch_settings: how connections are watched.
     :param refresh_seconds: the time between looks at the list.
     :param context: for TLS; None for plain connections.
     """
@@ -235,8 +271,7 @@
         config_follower: follower.Follower,
         authenticator: auth.Authenticator,
         system_clock: clock.Clock,
-        make_heartbeat: connection.HeartbeatMaker,
-        heartbeat_seconds: float,
+        watch_settings: connection.WatchSettings,
         refresh_seconds: float,
         context: ssl.SSLContext | None = None,
     ) -> None:
@@ -250,8 +285,7 @@
         self._follower = config_follower
         self._authenticator = authenticator
         self._clock = system_clock
-        self._make_heartbeat = make_heartbeat
-        self._heartbeat_seconds = heartbeat_seconds
+        self._watch_settings = watch_settings
 
     @property
     def follower(self) -> follower.Follower:
@@ -282,9 +316,7 @@
         :param dialled: the connection.
         :param take_heartbeat: takes the agent's heartbeats.
         """
-        await dialled.watch(
-            self._heartbeat_seconds, self._make_heartbeat, take_heartbeat
-        )
+        await dialled.watch(self._watch_settings, take_heartbeat)
 
     @property
     def entry_count(self) -> int:
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/quarantine.py
@@ -0,0 +1,111 @@
+"""Makes quarantines last: appends a record once the strikes suffice."""
+
+import asyncio
+import logging
+
+from wagtailstream_core import clock, errors, records, signing
+from wagtailstream_platform import (
+    follower,
+    log_client,
+    strike_board,
+)
+
+APPEND_WAIT_SECONDS = 1.0
+RETRY_SECONDS = 5.0
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class Quarantine:
+    """Judges bodies by their strikes, and has the verdict recorded.
+
+    :param board: the strikes that this instance knows.
+    :param log: the platform's log.
+    :param config_follower: holds the configuration in force.
+    :param signer: signs records with the fleet's key.
+    :param system_clock: tells the time.
+    """
+
+    def __init__(
+        self,
+        board: strike_board.StrikeBoard,
+        log: log_client.LogClient,
+        config_follower: follower.Follower,
+        signer: signing.Signer,
+        system_clock: clock.Clock,
+    ) -> None:
+        self._board = board
+        self._log = log
+        self._follower = config_follower
+        self._signer = signer
+        self._clock = system_clock
+        self._tried_at: dict[str, float] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def check(self, digest: str) -> errors.Refusal | None:
+        """Return the refusal of a quarantined digest, or None.
+
+        :param digest: the body's digest.
+        """
+        self._record_soon(digest)
+        return self._board.check(digest)
+
+    def is_suspect(self, digest: str) -> bool:
+        """Return whether an endpoint died under a digest.
+
+        :param digest: the body's digest.
+        """
+        return self._board.is_suspect(digest)
+
+    def note_answer(self, digest: str) -> None:
+        """Clear the strikes of a digest that was answered.
+
+        :param digest: the body's digest.
+        """
+        self._board.note_answer(digest)
+
+    async def note_death(self, digest: str, endpoint: str) -> None:
+        """Count a strike; at the limit, wait a little for the record.
+
+        :param digest: the digest of a body that was in flight.
+        :param endpoint: the name of the endpoint that died.
+        """
+        self._board.note_death(digest, endpoint)
+        task = self._record_soon(digest)
+        if task is not None:
+            await asyncio.wait([task], timeout=APPEND_WAIT_SECONDS)
+
+    def _record_soon(self, digest: str) -> "asyncio.Task[None] | None":
+        until = self._board.find_quarantine_end(digest)
+        if until is None or self._board.has_record(digest):
+            return None
+        now = self._clock.monotonic()
+        if now - self._tried_at.get(digest, -RETRY_SECONDS) < RETRY_SECONDS:
+            return None
+        self._forget_tries(now)
+        self._tried_at[digest] = now
+        task = asyncio.ensure_future(self._record(digest, until))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _forget_tries(self, now: float) -> None:
+        self._tried_at = {
+            digest: tried_at
+            for digest, tried_at in self._tried_at.items()
+            if now - tried_at < RETRY_SECONDS
+        }
+
+    async def _record(self, digest: str, until: float) -> None:
+        # A repeated record changes nothing, so a lost answer does no harm.
+        record = records.Quarantine(
+            base=self._follower.state.revision, digest=digest, until=until
+        )
+        try:
+            await self._log.append(
+                records.STREAM, records.seal(record, self._signer)
+            )
+        except errors.LogUnavailableError as error:
+            _LOGGER.warning(
+                "quarantine not recorded", extra={"detail": str(error)}
+            )
--- a/packages/wagtailstream-entry/wagtailstream_entry/responses.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/responses.py
@@ -21,6 +21,8 @@
     errors.Reason.CLAIM_LOST: 409,
     errors.Reason.DEADLINE_PAST: 408,
     errors.Reason.ENDPOINT_FAILED: 502,
+    errors.Reason.ENDPOINT_LOST: 502,
+    errors.Reason.ENDPOINT_STALLED: 502,
     errors.Reason.IDEMPOTENCY_KEY_INVALID: 400,
     errors.Reason.IDEMPOTENCY_KEY_MISSING: 400,
     errors.Reason.IDEMPOTENCY_KEY_STALE: 400,
--- a/packages/wagtailstream-entry/wagtailstream_entry/settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settings.py
@@ -18,10 +18,11 @@
     :param session_keys: the keys that sign session tokens.
     :param caller_tls: the certificate towards callers; without it the
         balancer ends TLS.
-    :param heartbeat_seconds: how often each agent is asked for its state.
+    :param heartbeat_seconds: the time between heartbeats; well below the
+        silence after which either end drops the connection.
     """
 
     session_keys: settings.Keys
     caller_tls: CallerTls | None = None
-    heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
+    heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=1.5)
     refresh_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
--- /dev/null
+++ b/tests/agent/test_slots.py
@@ -0,0 +1,170 @@
+"""Slots, against a naive version that sorts all waiters each time."""
+
+import asyncio
+import collections.abc
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from wagtailstream_agent import slots, trial
+from wagtailstream_core import clock, strikes, work
+
+SETTINGS = hypothesis.settings(derandomize=True, max_examples=200)
+STEPS = strategies.lists(
+    strategies.one_of(
+        strategies.tuples(
+            strategies.just("acquire"),
+            strategies.integers(0, 3),
+            strategies.booleans(),
+        ),
+        strategies.tuples(
+            strategies.sampled_from(["release", "cancel", "end trial"]),
+            strategies.integers(0, 30),
+            strategies.just(False),
+        ),
+    ),
+    max_size=30,
+)
+Step = tuple[str, int, bool]
+
+
+@dataclasses.dataclass(eq=False)
+class Holder:
+    """One attempt in the naive version."""
+
+    order: int
+    priority: int
+    is_suspect: bool
+    state: str = "waiting"
+    is_on_trial: bool = False
+
+
+class NaiveSlots:
+    """Keeps all attempts in one list and looks through it each time."""
+
+    def __init__(self, count: int) -> None:
+        self.count = count
+        self.holders: list[Holder] = []
+
+    def select(self, state: str) -> list[Holder]:
+        return [h for h in self.holders if h.state == state]
+
+    def admit(self) -> None:
+        for holder in sorted(
+            self.select("waiting"), key=lambda h: (-h.priority, h.order)
+        ):
+            if len(self.select("running")) >= self.count:
+                return
+            if holder.is_suspect and any(h.is_on_trial for h in self.holders):
+                continue
+            holder.state = "running"
+            holder.is_on_trial = holder.is_suspect
+
+
+async def play(steps: collections.abc.Sequence[Step], count: int) -> None:
+    """Apply the same steps to both and compare after each."""
+    real, naive = slots.Slots(count, 100), NaiveSlots(count)
+    tasks: dict[int, asyncio.Task[None]] = {}
+    for kind, number, is_suspect in steps:
+        if kind == "acquire":
+            holder = Holder(len(naive.holders), number, is_suspect)
+            naive.holders.append(holder)
+            tasks[holder.order] = asyncio.ensure_future(
+                real.acquire(number, is_suspect)
+            )
+            await asyncio.sleep(0)
+        else:
+            change(kind, number, real, naive, tasks)
+        naive.admit()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        running = {h.order for h in naive.select("running")}
+        admitted = {
+            n
+            for n, task in tasks.items()
+            if task.done() and not task.cancelled()
+        }
+        over = {h.order for h in naive.select("over")}
+        assert admitted - over == running
+        assert real.running == len(running)
+        assert real.queued == len(naive.select("waiting"))
+    for task in tasks.values():
+        task.cancel()
+
+
+def change(
+    kind: str,
+    number: int,
+    real: slots.Slots,
+    naive: NaiveSlots,
+    tasks: dict[int, "asyncio.Task[None]"],
+) -> None:
+    """End, cancel or clear one of the attempts, if there is one."""
+    state = "waiting" if kind == "cancel" else "running"
+    found = [
+        h for h in naive.select(state) if kind != "end trial" or h.is_on_trial
+    ]
+    if not found:
+        return
+    holder = found[number % len(found)]
+    if kind == "cancel":
+        holder.state = "cancelled"
+        tasks[holder.order].cancel()
+        return
+    if holder.is_on_trial:
+        holder.is_on_trial = False
+        real.end_trial()
+    if kind == "release":
+        holder.state = "over"
+        real.release()
+
+
+@SETTINGS
+@hypothesis.given(STEPS, strategies.integers(1, 3))
+def test_slots_admit_as_the_naive_version(
+    steps: list[Step], count: int
+) -> None:
+    asyncio.run(play(steps, count))
+
+
+@pytest.mark.asyncio
+async def test_cancelled_while_being_admitted_gives_all_back() -> None:
+    real = slots.Slots(1, 10)
+    await real.acquire(0, True)
+    waiting = asyncio.ensure_future(real.acquire(0, True))
+    await asyncio.sleep(0)
+    real.end_trial()
+    real.release()
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    assert real.running == 0
+    await asyncio.wait_for(real.acquire(0, True), 1.0)
+
+
+def make_attempt(name: str, is_suspect: bool) -> work.Attempt:
+    return work.Attempt(
+        name,
+        0,
+        "atelier",
+        0,
+        0.0,
+        0,
+        work.ModelWork("drafter", "1", name, 1),
+        is_suspect,
+    )
+
+
+def test_death_is_laid_on_the_suspect_on_trial_alone() -> None:
+    manual = clock.ManualClock(100.0)
+    room = trial.TrialRoom(slots.Slots(4, 4), manual)
+    suspect, neighbour = make_attempt("s", True), make_attempt("n", False)
+    room.enter(suspect)
+    assert not room.judge_death(neighbour)
+    assert room.judge_death(suspect)
+    room.leave(suspect)
+    # The neighbour hears of the same death a little later.
+    assert not room.judge_death(neighbour)
+    manual.advance(strikes.SAME_DEATH_SECONDS + 1.0)
+    assert room.judge_death(neighbour)
--- /dev/null
+++ b/tests/core/test_strikes.py
@@ -0,0 +1,131 @@
+"""Strikes, against a naive version that keeps every piece of news."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from wagtailstream_core import strikes
+
+DIGESTS = strategies.sampled_from(["a", "b", "c"])
+ENDPOINTS = strategies.sampled_from(["e1", "e2", "e3"])
+TIMES = strategies.integers(0, 40).map(float)
+NEWS = strategies.one_of(
+    strategies.builds(strikes.Strike, DIGESTS, ENDPOINTS, TIMES),
+    strategies.builds(strikes.Clearing, DIGESTS, TIMES),
+)
+HISTORIES = strategies.lists(NEWS, max_size=30)
+SETTINGS = hypothesis.settings(derandomize=True, max_examples=300)
+LIMIT = 2
+SECONDS = 600.0
+
+
+def count_naively(history: list[strikes.News], digest: str) -> int:
+    """Count from the whole history, with nothing dropped on the way."""
+    cleared = [
+        item.cleared_at
+        for item in history
+        if isinstance(item, strikes.Clearing) and item.digest == digest
+    ]
+    deaths: list[strikes.Strike] = []
+    for item in sorted(
+        {i for i in history if isinstance(i, strikes.Strike)},
+        key=lambda s: s.struck_at,
+    ):
+        if item.digest != digest or item.struck_at <= max(cleared, default=-1):
+            continue
+        if not any(
+            item.endpoint == death.endpoint
+            and item.struck_at - death.struck_at <= strikes.SAME_DEATH_SECONDS
+            for death in deaths
+        ):
+            deaths.append(item)
+    return len(deaths)
+
+
+@SETTINGS
+@hypothesis.given(HISTORIES)
+def test_table_counts_as_the_naive_version(
+    history: list[strikes.News],
+) -> None:
+    table = strikes.StrikeTable()
+    for item in history:
+        table.merge([item])
+    for digest in "abc":
+        assert table.count_deaths(digest) == count_naively(history, digest)
+
+
+@SETTINGS
+@hypothesis.given(HISTORIES, strategies.randoms(use_true_random=False))
+def test_order_and_repeats_do_not_matter(
+    history: list[strikes.News], rng: random.Random
+) -> None:
+    shuffled = history * 2
+    rng.shuffle(shuffled)
+    first, second = strikes.StrikeTable(), strikes.StrikeTable()
+    first.merge(history)
+    second.merge(shuffled)
+    for digest in "abc":
+        assert first.find_strikes(digest) == second.find_strikes(digest)
+
+
+@SETTINGS
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(strategies.integers(0, 3), HISTORIES), max_size=8
+    ),
+    strategies.integers(1, 4),
+)
+def test_gossip_in_small_parts_brings_all_to_the_same_count(
+    turns: list[tuple[int, list[strikes.News]]], part_size: int
+) -> None:
+    tables = [strikes.StrikeTable() for _ in range(4)]
+    positions: dict[tuple[int, int], int] = {}
+    for index, history in turns:
+        tables[index].merge(history)
+    is_moving = True
+    while is_moving:
+        is_moving = False
+        for source in range(4):
+            # A ring: news must be passed on to come all the way round.
+            target = (source + 1) % 4
+            part = tables[source].read_since(
+                positions.get((source, target), 0), part_size
+            )
+            positions[source, target] = part.position
+            is_moving |= tables[target].merge(part.news)
+            is_moving |= part.position < tables[source].position
+    everything = [item for _, history in turns for item in history]
+    for digest in "abc":
+        wanted = count_naively(everything, digest)
+        assert [t.count_deaths(digest) for t in tables] == [wanted] * 4
+
+
+def test_answer_clears_only_earlier_strikes() -> None:
+    table = strikes.StrikeTable()
+    table.merge([strikes.Strike("a", "e1", 1.0)])
+    table.merge([strikes.Clearing("a", 2.0)])
+    assert table.count_deaths("a") == 0
+    table.merge([strikes.Strike("a", "e2", 3.0)])
+    table.merge([strikes.Strike("a", "e3", 4.0)])
+    assert table.find_quarantine_end("a", LIMIT, SECONDS) == 4.0 + SECONDS
+
+
+def test_same_endpoint_counts_again_after_its_restart() -> None:
+    later = 1.0 + 2 * strikes.SAME_DEATH_SECONDS
+    table = strikes.StrikeTable()
+    table.merge([strikes.Strike("a", "e1", 1.0)])
+    table.merge([strikes.Strike("a", "e1", 1.1)])
+    assert table.count_deaths("a") == 1
+    table.merge([strikes.Strike("a", "e1", later)])
+    assert table.count_deaths("a") == LIMIT
+
+
+def test_table_is_bounded_and_forgets() -> None:
+    table = strikes.StrikeTable(capacity=10)
+    table.merge(strikes.Strike(str(n), "e1", float(n)) for n in range(50))
+    table.merge(strikes.Clearing(f"c{n}", float(n)) for n in range(50))
+    assert len(table.read_since(0, 1000).news) == 20
+    assert table.count_deaths("49") == 1
+    table.forget(100.0)
+    assert table.read_since(0, 1000).news == ()
