--- /dev/null
+++ b/experiments/heartbeats.py
@@ -0,0 +1,244 @@
+"""Measures what an entry spends on heartbeats, per link, by slope.
+
+Run as ``python -m experiments.heartbeats``. The agents' ends run in another
+process, so that only the entry's end is counted. With N and 2N links the
+slope leaves out what the process costs by itself.
+"""
+
+import asyncio
+import dataclasses
+import multiprocessing
+import subprocess
+import sys
+import time
+import typing
+from concurrent import futures
+
+import click
+import grpclib.server
+import orjson
+import psutil  # type: ignore[import-untyped]
+
+from wagtailstream_agent import grpc_service, results, runner
+from wagtailstream_core import clock, signing, wire_pb2
+from wagtailstream_entry import connection, links
+from wagtailstream_platform import (
+    alarm,
+    auth,
+    bill_outbox,
+    follower,
+    instance_list,
+    log_client,
+    metrics,
+    strike_board,
+)
+
+LINKS = 64
+SECONDS = 10.0
+WARM_UP_SECONDS = 3.0
+INTERVAL_SECONDS = 1.0
+KEY = "fleet-1"
+SECRET = bytes(32)
+MODULE = "experiments.heartbeats"
+
+
+@dataclasses.dataclass(frozen=True)
+class Cost:
+    """What an entry used.
+
+    :param cpu: seconds of processor time a second.
+    :param memory: resident bytes.
+    """
+
+    links: int
+    cpu: float
+    memory: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    """What both ends need."""
+
+    clock: clock.Clock
+    metrics: metrics.Metrics
+    follower: follower.Follower
+    alarm: alarm.Alarm
+    strikes: strike_board.StrikeBoard
+    authenticator: auth.Authenticator
+
+
+def make_parts() -> Parts:
+    """Return the parts of one end."""
+    counters = metrics.MemoryMetrics()
+    system_clock = clock.SystemClock()
+    config_follower = follower.Follower(
+        log_client.MemoryLog(),
+        signing.Keyring({}, {KEY: SECRET}),
+        "dc-1",
+        system_clock,
+        counters,
+    )
+    news_alarm = alarm.Alarm()
+    board = strike_board.StrikeBoard(
+        config_follower, system_clock, news_alarm, counters, "experiment"
+    )
+    return Parts(
+        system_clock,
+        counters,
+        config_follower,
+        news_alarm,
+        board,
+        auth.Authenticator(KEY, {KEY: SECRET}),
+    )
+
+
+def make_heartbeat(name: str) -> wire_pb2.Heartbeat:
+    """Return a heartbeat of the usual size.
+
+    :param name: the instance's name.
+    """
+    return wire_pb2.Heartbeat(
+        instance=name,
+        endpoint=name,
+        data_centre="dc-1",
+        sequence=int(time.time()),
+        configuration_offset=-1,
+        running=8,
+        slots=8,
+        loaded=[
+            wire_pb2.ModelVersion(model=f"model-{n}", version="2026-01")
+            for n in range(3)
+        ],
+        contacts=[
+            wire_pb2.LogContact(
+                data_centre=f"dc-{n}", reached_unix_ms=1, tail_offset=1
+            )
+            for n in range(4)
+        ],
+    )
+
+
+async def serve_agents(count: int) -> None:
+    """Serve the agents' ends and print their ports.
+
+    :param count: how many agents.
+    """
+    ports = []
+    for number in range(count):
+        parts = make_parts()
+        name = f"agent-{number}"
+        service = grpc_service.AgentService(
+            typing.cast(runner.Runner, None),
+            parts.follower,
+            typing.cast(bill_outbox.BillOutbox, None),
+            results.ResultTable(),
+            lambda name=name: make_heartbeat(name),  # type: ignore[misc]
+            parts.strikes,
+            parts.alarm,
+        )
+        server = grpclib.server.Server([service])
+        await server.start("127.0.0.1", 0)
+        listening = typing.cast(asyncio.Server, server._server)
+        ports.append(listening.sockets[0].getsockname()[1])
+    print(orjson.dumps(ports).decode(), flush=True)
+    await asyncio.Event().wait()
+
+
+async def measure(ports: list[int], seconds: float) -> Cost:
+    """Return what an entry with a link to each port uses.
+
+    :param ports: the agents' ports.
+    :param seconds: how long to measure.
+    """
+    parts = make_parts()
+    listed = [
+        instance_list.Instance(
+            f"agent-{port}", "agent", f"127.0.0.1:{port}", "dc-1", "", False
+        )
+        for port in ports
+    ]
+    table = links.LinkTable(
+        instance_list.MemoryInstanceList(listed),
+        parts.follower,
+        parts.authenticator,
+        parts.clock,
+        connection.WatchSettings(
+            INTERVAL_SECONDS,
+            lambda: make_heartbeat("entry-1"),
+            parts.strikes,
+            parts.alarm,
+        ),
+        INTERVAL_SECONDS,
+    )
+    following = asyncio.ensure_future(table.run())
+    await asyncio.sleep(WARM_UP_SECONDS)
+    before, started_at = time.process_time(), time.monotonic()
+    await asyncio.sleep(seconds)
+    used = time.process_time() - before
+    elapsed = time.monotonic() - started_at
+    usable = sum(link.is_usable for link in table.list_links())
+    if usable != len(ports):
+        raise RuntimeError(f"only {usable} of {len(ports)} links are up")
+    memory = psutil.Process().memory_info().rss
+    table.close()
+    following.cancel()
+    return Cost(usable, used / elapsed, memory)
+
+
+def run(count: int, seconds: float) -> Cost:
+    """Return an entry's cost for some links, agents in another process.
+
+    :param count: how many links.
+    :param seconds: how long to measure.
+    """
+    agents = subprocess.Popen(
+        [sys.executable, "-m", MODULE, "--agents", str(count)],
+        stdout=subprocess.PIPE,
+    )
+    try:
+        line = agents.stdout.readline() if agents.stdout else b"[]"
+        return asyncio.run(measure(orjson.loads(line), seconds))
+    finally:
+        agents.kill()
+        agents.wait()
+
+
+def run_alone(count: int, seconds: float) -> Cost:
+    """Return the cost as :func:`run`, in a process of its own.
+
+    :param count: how many links.
+    :param seconds: how long to measure.
+    """
+    spawn = multiprocessing.get_context("spawn")
+    with futures.ProcessPoolExecutor(1, mp_context=spawn) as executor:
+        return executor.submit(run, count, seconds).result()
+
+
+@click.command()
+@click.option("--links", "count", default=LINKS, show_default=True)
+@click.option("--seconds", default=SECONDS, show_default=True)
+@click.option("--agents", default=0, help="Serve the agents' ends instead.")
+def main(count: int, seconds: float, agents: int) -> None:
+    """Print the cost with N and 2N links, and the slope."""
+    if agents:
+        asyncio.run(serve_agents(agents))
+        return
+    costs = [run_alone(count, seconds), run_alone(2 * count, seconds)]
+    for cost in costs:
+        click.echo(
+            f"links={cost.links} cpu={cost.cpu:.4f} "
+            f"rss={cost.memory / 1e6:.1f} MB"
+        )
+    more = costs[1].links - costs[0].links
+    cpu = (costs[1].cpu - costs[0].cpu) / more
+    memory = (costs[1].memory - costs[0].memory) / more
+    size = len(make_heartbeat("agent-1").SerializeToString())
+    click.echo(
+        f"slope: {cpu * 1e6:.0f} us of CPU and {memory / 1e3:.1f} kB a link "
+        f"at one heartbeat each way per {INTERVAL_SECONDS:g} s "
+        f"({size} bytes of payload)"
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -277,6 +277,7 @@
         await self._wait_idle()
         server.close()
         await server.wait_closed()
+        await self._service.wait_finished(FLUSH_LIMIT_SECONDS)
         await self._flush()
         for task in self._tasks:
             task.cancel()
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -87,6 +87,14 @@
         """How many attempts are under way or not settled yet."""
         return self._open_count
 
+    async def wait_finished(self, limit_seconds: float) -> None:
+        """Wait until what the attempts used is with the outbox.
+
+        :param limit_seconds: how long at most.
+        """
+        if self._cleanups:
+            await asyncio.wait(list(self._cleanups), timeout=limit_seconds)
+
     async def Run(self, stream: RunStream) -> None:  # noqa: N802
         """Run one attempt.
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -1,6 +1,7 @@
 """Wires the entry together, serves, and shuts down gracefully."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import signal
@@ -20,6 +21,7 @@
     handlers,
     limit,
     links,
+    open_requests,
     parse_chat,
     pipeline,
     quarantine,
@@ -45,6 +47,7 @@
 
 DRAIN_POLL_SECONDS = 0.05
 FLUSH_LIMIT_SECONDS = 5.0
+ABORT_LIMIT_SECONDS = 2.0
 MAX_HEADER_BYTES = 16384
 MAX_BUFFER_BYTES = 1048576
 # The handlers refuse earlier, with a typed error; this is the last bound.
@@ -119,7 +122,7 @@
         self._settle = settle.Settle(
             self._outbox, self._clock, entry_settings.instance
         )
-        self._open_requests: set[str] = set()
+        self._open_requests = open_requests.OpenRequests()
         self._is_draining = False
         self._sequence = 0
         self._stop = asyncio.Event()
@@ -210,6 +213,7 @@
     def _is_ready(self) -> bool:
         return (
             not self._is_draining
+            and self._table.has_list
             and self._follower.state.bundle is not None
             and self._follower.judge() is not freshness.Freshness.CUT_OFF
         )
@@ -318,15 +322,24 @@
     async def _wait_idle(self) -> None:
         try:
             async with asyncio.timeout(self._settings.drain_seconds):
-                while self._open_requests:
-                    await asyncio.sleep(DRAIN_POLL_SECONDS)
-                # The last answers are written after their requests end.
-                await asyncio.sleep(DRAIN_POLL_SECONDS)
+                await self._wait_answered()
         except TimeoutError:
             _LOGGER.warning(
                 "drain limit reached",
                 extra={"open": len(self._open_requests)},
             )
+            await self._give_up_open()
+
+    async def _wait_answered(self) -> None:
+        while len(self._open_requests):
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _give_up_open(self) -> None:
+        """Give each open request its final answer; the agents bill."""
+        self._open_requests.abort()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ABORT_LIMIT_SECONDS):
+                await self._wait_answered()
 
     async def _flush(self) -> None:
         try:
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -189,7 +189,11 @@
         self, job: "_Job", link: links.AgentLink, error: errors.PeerError
     ) -> errors.Refusal:
         was_sent = not isinstance(error, connection.NotSentError)
-        is_lost = job.is_accepted and not await link.is_alive()
+        is_lost = (
+            job.is_accepted
+            and not link.is_draining
+            and not await link.is_alive()
+        )
         return errors.Refusal(
             errors.Reason.ENDPOINT_LOST
             if is_lost
--- a/packages/wagtailstream-entry/wagtailstream_entry/handler_base.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/handler_base.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+import expression
 import orjson
 import uuid_utils
 from tornado import iostream, web
@@ -13,6 +14,7 @@
 from wagtailstream_core import errors, session
 from wagtailstream_entry import (
     exchange,
+    open_requests,
     pipeline,
     responses,
     run_model,
@@ -20,6 +22,7 @@
 from wagtailstream_platform import follower, metrics
 
 STEP = "http"
+DRAIN_RETRY_SECONDS = 1.0
 MAX_BODY_BYTES_WITHOUT_BUNDLE = 262144
 
 _REQUEST_LOGGER = logging.getLogger("wagtailstream.request")
@@ -40,7 +43,7 @@
     follower: follower.Follower
     session_keys: session.SessionKeys
     metrics: metrics.Metrics
-    open_requests: set[str]
+    open_requests: open_requests.OpenRequests
     is_ready: typing.Callable[[], bool]
     describe: typing.Callable[[], responses.Json]
 
@@ -148,6 +151,8 @@
         super().initialize(context)
         self._body = bytearray()
         self._task: asyncio.Task[pipeline.Verdict] | None = None
+        self._open_id = self.request_id
+        self._is_caller_gone = False
 
     def prepare(self) -> None:
         """Refuse a body that is announced as too large."""
@@ -188,8 +193,14 @@
 
     def on_connection_close(self) -> None:
         """Give the request up, since its caller hung up."""
+        self._is_caller_gone = True
         if self._task is not None:
             self._task.cancel()
+        self.context.open_requests.discard(self._open_id)
+
+    def on_finish(self) -> None:
+        """Count the request no more: its answer is written."""
+        self.context.open_requests.discard(self._open_id)
 
     def make_exchange(self, sink: exchange.AnswerSink) -> exchange.Exchange:
         """Return the request as the pipeline takes it.
@@ -219,22 +230,39 @@
         """
         counters = self.context.metrics
         counters.count(metrics.Metric.REQUESTS)
-        self.context.open_requests.add(self.request_id)
         self._task = asyncio.ensure_future(steps.process(request))
+        self.context.open_requests.add(self._open_id, self._task)
         try:
             verdict = await self._task
         except (asyncio.CancelledError, iostream.StreamClosedError):
-            counters.count(
-                metrics.Metric.REFUSED, errors.Reason.CANCELLED.value
-            )
-            self._log_request(request, _CANCELLED)
-            return None
+            if self._is_caller_gone or not self._is_given_up:
+                counters.count(
+                    metrics.Metric.REFUSED, errors.Reason.CANCELLED.value
+                )
+                self._log_request(request, _CANCELLED)
+                return None
+            verdict = expression.Error(self._refuse_given_up(request))
         finally:
-            self.context.open_requests.discard(self.request_id)
             await self._release(request)
         self._note_verdict(request, verdict)
         return verdict
 
+    @property
+    def _is_given_up(self) -> bool:
+        return self.context.open_requests.is_aborted
+
+    def _refuse_given_up(self, request: exchange.Exchange) -> errors.Refusal:
+        return errors.Refusal(
+            errors.Reason.DRAINING,
+            errors.Outcome.UNKNOWN
+            if request.attempt_count
+            else errors.Outcome.NOT_RUN,
+            "this entry stopped before the answer was whole",
+            STEP,
+            self.context.peer,
+            time.time() + DRAIN_RETRY_SECONDS,
+        )
+
     async def _release(self, request: exchange.Exchange) -> None:
         """Give up what was not settled; the agents bill it."""
         for run in request.runs:
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -93,7 +93,7 @@
             self._state is not None
             and not self._state.is_draining
             and not self._is_listed_leaving
-            and any(not c.is_closed for c in self._connections)
+            and any(self._list_heard())
         )
 
     @property
@@ -107,6 +107,11 @@
             or (self._state is not None and self._state.is_stalled)
         )
 
+    @property
+    def is_draining(self) -> bool:
+        """Whether the agent said that it is leaving."""
+        return self._state is not None and self._state.is_draining
+
     def set_listed_leaving(self, is_leaving: bool) -> None:
         """Note what the platform's list says.
 
@@ -166,9 +171,16 @@
                 return candidate
         raise errors.PeerError("connect", self._address, "not connected")
 
+    def _list_heard(self) -> list[connection.Connection]:
+        """Return the connections over which the agent was heard."""
+        return [
+            c for c in self._connections if c.has_heard and not c.is_closed
+        ]
+
     def _pick_connection(self) -> connection.Connection:
-        is_open = [c for c in self._connections if not c.is_closed]
-        best = min(is_open, key=lambda c: c.in_flight, default=None)
+        # A connection is watched by itself; one that is still silent may be
+        # dead from the start.
+        best = min(self._list_heard(), key=lambda c: c.in_flight, default=None)
         if best is None or best.in_flight >= MAX_RUNS_PER_CONNECTION:
             return self._dial()
         return best
@@ -282,6 +294,7 @@
         self._unlisted_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._entry_count = 1
+        self._has_list = False
         self._follower = config_follower
         self._authenticator = authenticator
         self._clock = system_clock
@@ -318,6 +331,11 @@
         """
         await dialled.watch(self._watch_settings, take_heartbeat)
 
+    @property
+    def has_list(self) -> bool:
+        """Whether the platform's list was ever read."""
+        return self._has_list
+
     @property
     def entry_count(self) -> int:
         """How many live entries the platform lists."""
@@ -346,6 +364,7 @@
     def _apply(
         self, listed: collections.abc.Iterable[instance_list.Instance]
     ) -> None:
+        self._has_list = True
         agents = {i.address: i for i in listed if i.role == "agent"}
         self._entry_count = sum(
             i.role == "entry" and not i.is_leaving for i in listed
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -42,8 +42,13 @@
     :param rating: further options of the rating service.
     :param agent: further settings of each agent.
     :param entry: further settings of each entry.
-    :param routes: services that are reached through the fault proxy; see
-        :meth:`Fleet.route`.
+    :param platform: further settings of each instance's platform section.
+    :param has_proxy: whether log and instance list are reached through the
+        fault proxy, all instances by the routes ``log`` and ``instances``.
+    :param has_own_routes: whether each instance has its own route to the
+        log, ``log-INSTANCE``, and each agent its own route from the entries,
+        ``agent-ENDPOINT``.
+    :param replica_readers: instances that read a replica of the log.
     """
 
     engine: tuple[str, ...] = ()
@@ -51,7 +56,10 @@
     weights: tuple[str, ...] = ()
     agent: Json = dataclasses.field(default_factory=dict)
     entry: Json = dataclasses.field(default_factory=dict)
+    platform: Json = dataclasses.field(default_factory=dict)
     has_proxy: bool = False
+    has_own_routes: bool = False
+    replica_readers: tuple[str, ...] = ()
 
 
 class Fleet:
@@ -82,6 +90,11 @@
             yaml.safe_load(bundle_path.read_text()), str(bundle_path)
         )
 
+    @property
+    def directory(self) -> pathlib.Path:
+        """Where settings, keys and logs are."""
+        return self._directory
+
     @property
     def entries(self) -> list[processes.Process]:
         """The entries, in the order in which they were started."""
@@ -105,7 +118,7 @@
             the system pick.
         """
         self._make_keys()
-        if self._options.has_proxy:
+        if self._options.has_proxy or self._options.has_own_routes:
             self._proxy = self._start_standin("proxy")
         for name in PLATFORM:
             further = {
@@ -201,14 +214,24 @@
             "host": "127.0.0.1",
             "port": port,
             "platform": {
-                "log": self._urls["log"],
+                "log": self._find_log_url(instance),
                 "instances": self._urls["instances"],
                 "rating": self._platform["rating"].url,
+                **self._options.platform,
             },
             "operator_keys": self._operator_keys,
             "fleet_keys": self._make_key_settings("fleet"),
         }
 
+    def _find_log_url(self, instance: str) -> str:
+        url = self._urls["log"]
+        if self._options.has_own_routes:
+            target = self._platform["log"].address
+            url = f"http://{self.route(f'log-{instance}', target)}"
+        if instance in self._options.replica_readers:
+            url += "/replica"
+        return url
+
     def _make_key_settings(self, name: str) -> Json:
         path = self._directory / f"{name}.key"
         return {
@@ -235,6 +258,17 @@
         self.register_agent(name)
         return found.agent
 
+    def restart_backend(self, name: str) -> processes.Process:
+        """Start an endpoint and its agent anew, with nothing loaded.
+
+        :param name: the endpoint's name.
+        """
+        found = self._endpoints[name]
+        found.backend = self._start_backend(found.endpoint)
+        found.agent_settings = self._write_agent(found.endpoint, found.backend)
+        self.restart_agent(name)
+        return found.backend
+
     def register_agent(
         self, name: str, state: str = "live", address: str = ""
     ) -> None:
@@ -245,6 +279,8 @@
         :param address: where entries reach it, if not directly.
         """
         found = self._endpoints[name]
+        if not address and self._options.has_own_routes:
+            address = self.route(f"agent-{name}", found.agent.address)
         self._put_instance(
             f"agent-{name}",
             {
@@ -263,10 +299,13 @@
             timeout=CALL_TIMEOUT_SECONDS,
         ).raise_for_status()
 
-    def start_entry(self, port: int = 0) -> processes.Process:
+    def start_entry(
+        self, port: int = 0, settings: Json | None = None
+    ) -> processes.Process:
         """Start a further entry, and list it.
 
         :param port: its port; 0 lets the system pick.
+        :param settings: further settings of this entry.
         """
         index = len(self._entries) + 1
         places = self.bundle.data_centres
@@ -276,7 +315,7 @@
         value = self._make_common(name, place, port)
         value["session_keys"] = self._make_key_settings("session")
         value |= {"heartbeat_seconds": 0.25, "refresh_seconds": 0.25}
-        value |= self._options.entry
+        value |= self._options.entry | (settings or {})
         path.write_text(yaml.safe_dump(value))
         entry = self._group.start(
             name, "-m", "wagtailstream_entry.cli", "serve", str(path)
