Keep links to a bounded part of the fleet

Cause: a full mesh of heartbeats, 390 entries by 750 agents, breaks the budget for control.

Above the setting max_links (128; today's sizes get all) an entry links to those endpoints of each pool (data centre and what they serve) that rank first for it by rendezvous hashing, at least two of a pool. A claim's winner outside the choice is dialled on demand and gets no new work.

The link to one agent has its own module now.

--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -169,6 +169,7 @@
             parts.alarm,
         ),
         INTERVAL_SECONDS,
+        links.LinkBounds("entry-1", len(ports)),
     )
     following = asyncio.ensure_future(table.run())
     await asyncio.sleep(WARM_UP_SECONDS)
--- a/packages/wagtailstream-core/wagtailstream_core/membership.py
+++ b/packages/wagtailstream-core/wagtailstream_core/membership.py
@@ -9,6 +9,7 @@
 import collections
 import collections.abc
 import dataclasses
+import math
 
 import xxhash
 
@@ -58,7 +59,7 @@
     sizes = {pool: len(found) for pool, found in pools.items()}
     if sum(sizes.values()) <= max_links:
         return frozenset(m.address for p in pools.values() for m in p)
-    shares = share_links(sizes, max_links)
+    shares = share_links(entry, sizes, max_links)
     return frozenset(
         member.address
         for pool, found in pools.items()
@@ -78,16 +79,32 @@
         members,
         key=lambda m: (
             m.is_avoided,
-            xxhash.xxh3_64_intdigest(f"{entry}\0{m.address}".encode()),
+            draw_rank(entry, m.address),
         ),
     )
 
 
+def draw_rank(entry: str, name: str) -> float:
+    """Return a number from 0 to 1 that depends on the two names alone.
+
+    :param entry: the entry's name.
+    :param name: what is ranked.
+    """
+    digest = xxhash.xxh3_64_intdigest(f"{entry}\0{name}".encode())
+    return (digest + 0.5) / 2.0**64
+
+
 def share_links(
-    sizes: collections.abc.Mapping[Pool, int], max_links: int
+    entry: str,
+    sizes: collections.abc.Mapping[Pool, int],
+    max_links: int,
 ) -> dict[Pool, int]:
     """Return how many links go to each pool, by size, with a least share.
 
+    What rounding leaves over goes to pools drawn for this entry by their
+    remainders, so that over all entries each pool gets its exact share.
+
+    :param entry: the entry's name.
     :param sizes: the number of members of each pool.
     :param max_links: how many links there are to share.
     """
@@ -100,9 +117,12 @@
     exact = {p: min(1.0, left / total) * n for p, n in wanting.items()}
     for pool, part in exact.items():
         shares[pool] += int(part)
-    # The largest remainders get what rounding left over.
     rest = left - sum(int(part) for part in exact.values())
-    by_remainder = sorted(exact, key=lambda p: (int(exact[p]) - exact[p], p))
-    for pool in by_remainder[: max(0, rest)]:
-        shares[pool] = min(sizes[pool], shares[pool] + 1)
+    remainders = {p: part - int(part) for p, part in exact.items()}
+    drawn = sorted(
+        (p for p, remainder in remainders.items() if remainder > 0),
+        key=lambda p: -math.log(draw_rank(entry, str(p))) / remainders[p],
+    )
+    for pool in drawn[: max(0, rest)]:
+        shares[pool] += 1
     return shares
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -12,6 +12,7 @@
 
 from wagtailstream_core import clock, freshness, wire_codec, wire_pb2
 from wagtailstream_entry import (
+    agent_link,
     authenticate,
     connection,
     current,
@@ -102,6 +103,9 @@
                 self._alarm,
             ),
             entry_settings.refresh_seconds,
+            links.LinkBounds(
+                entry_settings.instance, entry_settings.max_links
+            ),
             tls.make_client_context(entry_settings.tls),
         )
         self._dispatcher = dispatch.Dispatcher(
@@ -247,7 +251,7 @@
             ],
         }
 
-    def _describe_link(self, link: links.AgentLink) -> responses.Json:
+    def _describe_link(self, link: agent_link.AgentLink) -> responses.Json:
         state = link.state
         if state is None:
             return {"address": link.address, "reachable": False}
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -17,7 +17,13 @@
     routing,
     work,
 )
-from wagtailstream_entry import connection, exchange, links, quarantine
+from wagtailstream_entry import (
+    agent_link,
+    connection,
+    exchange,
+    links,
+    quarantine,
+)
 from wagtailstream_platform import metrics
 
 STEP = "dispatch"
@@ -186,7 +192,7 @@
         return outcome
 
     async def _describe_failure(
-        self, job: "_Job", link: links.AgentLink, error: errors.PeerError
+        self, job: "_Job", link: agent_link.AgentLink, error: errors.PeerError
     ) -> errors.Refusal:
         was_sent = not isinstance(error, connection.NotSentError)
         is_lost = (
@@ -214,7 +220,7 @@
             self._clock.wall() + RETRY_SECONDS,
         )
 
-    def _choose(self, job: "_Job") -> links.AgentLink | None:
+    def _choose(self, job: "_Job") -> agent_link.AgentLink | None:
         by_endpoint = {
             link.state.endpoint: link
             for link in self._table.list_links()
@@ -234,7 +240,7 @@
         return by_endpoint[chosen] if chosen is not None else None
 
     def _make_candidate(
-        self, link: links.AgentLink, state: links.AgentState
+        self, link: agent_link.AgentLink, state: agent_link.AgentState
     ) -> routing.Candidate:
         return routing.Candidate(
             state.endpoint,
@@ -245,7 +251,9 @@
             link.is_suspect,
         )
 
-    async def _attempt(self, job: "_Job", link: links.AgentLink) -> Outcome:
+    async def _attempt(
+        self, job: "_Job", link: agent_link.AgentLink
+    ) -> Outcome:
         request = job.request
         number = request.next_attempt()
         position = job.assembler.start_attempt(number)
@@ -289,7 +297,7 @@
         )
 
     async def _receive(
-        self, job: "_Job", link: links.AgentLink, run: connection.Run
+        self, job: "_Job", link: agent_link.AgentLink, run: connection.Run
     ) -> Outcome:
         ended: work.Ended | None = None
         while True:
@@ -312,7 +320,7 @@
                 return expression.Ok(Completed(ended, run, endpoint))
 
     async def _note_accepted(
-        self, job: "_Job", link: links.AgentLink, accepted: work.Accepted
+        self, job: "_Job", link: agent_link.AgentLink, accepted: work.Accepted
     ) -> None:
         self._catch_up(link, accepted.configuration_offset)
         if link.state is not None:
@@ -320,12 +328,12 @@
                 job.request.origin, endpoint=link.state.endpoint
             )
 
-    def _catch_up(self, link: links.AgentLink, offset: int) -> None:
+    def _catch_up(self, link: agent_link.AgentLink, offset: int) -> None:
         if offset > self._table.follower.state.offset:
             self._table.spawn(link.pull_configuration())
 
     async def _note_refused(
-        self, job: "_Job", link: links.AgentLink, refusal: errors.Refusal
+        self, job: "_Job", link: agent_link.AgentLink, refusal: errors.Refusal
     ) -> None:
         job.last_refusal = refusal
         if refusal.outcome is errors.Outcome.NOT_RUN:
@@ -359,7 +367,7 @@
     version: configuration.ModelVersion | None
     prefix_hash: int
 
-    def admits(self, state: links.AgentState) -> bool:
+    def admits(self, state: agent_link.AgentState) -> bool:
         """Return whether an agent's endpoint may take the work.
 
         :param state: the agent's state.
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/link_choice.py
@@ -0,0 +1,46 @@
+"""Applies the choice of links to what the platform lists."""
+
+import collections.abc
+
+from wagtailstream_core import bundle, membership
+from wagtailstream_platform import instance_list
+
+OptionalBundle = bundle.Bundle | None
+
+
+def choose(
+    entry: str,
+    agents: collections.abc.Mapping[str, instance_list.Instance],
+    avoided: collections.abc.Container[str],
+    known: OptionalBundle,
+    max_links: int,
+) -> frozenset[str]:
+    """Return the addresses that an entry keeps links to.
+
+    :param entry: the entry's name.
+    :param agents: the listed agents by address.
+    :param avoided: addresses that can't take work now.
+    :param known: the bundle in force, if any.
+    :param max_links: how many links the entry may keep.
+    """
+    if len(agents) <= max_links:
+        return frozenset(agents)
+    places = {e.name: e for e in known.endpoints} if known is not None else {}
+    members = [
+        membership.Member(
+            address,
+            _make_pool(instance, places.get(instance.endpoint)),
+            instance.is_leaving or address in avoided,
+        )
+        for address, instance in agents.items()
+    ]
+    return membership.choose_links(entry, members, max_links)
+
+
+def _make_pool(
+    instance: instance_list.Instance, endpoint: bundle.Endpoint | None
+) -> membership.Pool:
+    if endpoint is None:
+        return membership.Pool(instance.data_centre, ())
+    serves = (endpoint.service,) if endpoint.service else endpoint.models
+    return membership.Pool(endpoint.data_centre, tuple(serves))
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -13,259 +13,31 @@
 
 from wagtailstream_core import (
     clock,
-    configuration,
     errors,
     wire_codec,
     wire_pb2,
-    work,
 )
-from wagtailstream_entry import connection
-from wagtailstream_platform import alarm, auth, follower, instance_list
+from wagtailstream_entry import agent_link, connection, link_choice
+from wagtailstream_platform import auth, follower, instance_list
 
-MAX_RUNS_PER_CONNECTION = 80
-REDIAL_SECONDS = 0.25
-SUSPECT_SECONDS = 3.0
-PROBE_SECONDS = 0.5
 FORGET_SECONDS = 30.0
 
 _LOGGER = logging.getLogger(__name__)
 
 
 @dataclasses.dataclass(frozen=True)
-class AgentState:
-    """An agent's state as of its last heartbeat.
+class LinkBounds:
+    """Which part of a large fleet an entry links to.
 
-    :param heard_at: monotonic seconds.
+    :param entry: the entry's name.
+    :param max_links: how many links it keeps.
     """
 
-    instance: str
-    endpoint: str
-    data_centre: str
-    configuration_offset: int
-    is_draining: bool
-    running: int
-    queued: int
-    slots: int
-    loaded: frozenset[configuration.ModelVersion]
-    heard_at: float
-    sequence: int = 0
-    is_stalled: bool = False
-
-
-class AgentLink:
-    """All that this entry holds of one agent.
-
-    :param address: the agent's IP number and port.
-    :param table: the table that it belongs to.
-    """
-
-    def __init__(self, address: str, table: "LinkTable") -> None:
-        self._address = address
-        self._table = table
-        self._connections: list[connection.Connection] = []
-        self._watches: set[asyncio.Task[None]] = set()
-        self._state: AgentState | None = None
-        self._is_listed_leaving = False
-        self._failed_at = -SUSPECT_SECONDS
-        self._has_heard = alarm.Alarm()
-        self._probe: asyncio.Future[bool] | None = None
-        self._keeper = asyncio.ensure_future(self._keep_connected())
-
-    @property
-    def address(self) -> str:
-        """The agent's IP number and port."""
-        return self._address
-
-    @property
-    def state(self) -> AgentState | None:
-        """The agent's state as last heard; None before the first time."""
-        return self._state
+    entry: str
+    max_links: int
 
-    @property
-    def in_flight(self) -> int:
-        """How many attempts of this entry are under way there."""
-        return sum(c.in_flight for c in self._connections)
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether the agent may be given new work."""
-        return (
-            self._state is not None
-            and not self._state.is_draining
-            and not self._is_listed_leaving
-            and any(self._list_heard())
-        )
-
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the agent failed or was silent lately."""
-        now = self._table.clock.monotonic()
-        heard_at = self._state.heard_at if self._state else 0.0
-        return (
-            now - self._failed_at < SUSPECT_SECONDS
-            or now - heard_at > SUSPECT_SECONDS
-            or (self._state is not None and self._state.is_stalled)
-        )
-
-    @property
-    def is_draining(self) -> bool:
-        """Whether the agent said that it is leaving."""
-        return self._state is not None and self._state.is_draining
-
-    def set_listed_leaving(self, is_leaving: bool) -> None:
-        """Note what the platform's list says.
-
-        :param is_leaving: whether it lists the agent as leaving.
-        """
-        self._is_listed_leaving = is_leaving
-
-    def note_failure(self) -> None:
-        """Note that an attempt failed at the agent."""
-        self._failed_at = self._table.clock.monotonic()
-
-    def note_draining(self) -> None:
-        """Note that the agent refused since it is draining."""
-        if self._state is not None:
-            self._state = dataclasses.replace(self._state, is_draining=True)
-
-    async def open_run(self, attempt: work.Attempt) -> connection.Run:
-        """Send an attempt to the agent.
-
-        :param attempt: the attempt.
-        :raises errors.PeerError: it could not be sent.
-        """
-        return await self._pick_connection().open_run(attempt)
 
-    async def is_alive(self) -> bool:
-        """Return whether the agent still runs, over a new connection.
-
-        Asked after a connection failed, which may be the fault of something
-        between the two ends.
-        """
-        if self._probe is None or self._probe.done():
-            self._probe = asyncio.ensure_future(self._probe_once())
-        return await asyncio.shield(self._probe)
-
-    async def _probe_once(self) -> bool:
-        before = self._state.sequence if self._state else 0
-        with self._has_heard.subscribe() as has_heard:
-            dialled = self._dial()
-            try:
-                async with asyncio.timeout(PROBE_SECONDS):
-                    while not dialled.has_heard and not dialled.is_closed:
-                        await has_heard.wait()
-                        has_heard.clear()
-            except TimeoutError:
-                dialled.close()
-                return False
-        after = self._state.sequence if self._state else 0
-        return dialled.has_heard and after > before
-
-    def pick_any(self) -> connection.Connection:
-        """Return an open connection.
-
-        :raises errors.PeerError: there is none.
-        """
-        for candidate in self._connections:
-            if not candidate.is_closed:
-                return candidate
-        raise errors.PeerError("connect", self._address, "not connected")
-
-    def _list_heard(self) -> list[connection.Connection]:
-        """Return the connections over which the agent was heard."""
-        return [
-            c for c in self._connections if c.has_heard and not c.is_closed
-        ]
-
-    def _pick_connection(self) -> connection.Connection:
-        # A connection is watched by itself; one that is still silent may be
-        # dead from the start.
-        best = min(self._list_heard(), key=lambda c: c.in_flight, default=None)
-        if best is None or best.in_flight >= MAX_RUNS_PER_CONNECTION:
-            return self._dial()
-        return best
-
-    def _dial(self) -> connection.Connection:
-        dialled = self._table.dial(self._address)
-        self._connections.append(dialled)
-        watch = asyncio.ensure_future(self._watch(dialled))
-        self._watches.add(watch)
-        watch.add_done_callback(self._watches.discard)
-        return dialled
-
-    async def _watch(self, dialled: connection.Connection) -> None:
-        try:
-            await self._table.watch(dialled, self._take_heartbeat)
-        finally:
-            self._connections.remove(dialled)
-            self._has_heard.ring()
-
-    async def _keep_connected(self) -> None:
-        while True:
-            if not self._connections:
-                self._dial()
-            await asyncio.sleep(REDIAL_SECONDS)
-
-    def _take_heartbeat(
-        self, source: connection.Connection, message: wire_pb2.Heartbeat
-    ) -> None:
-        self._state = AgentState(
-            message.instance,
-            message.endpoint,
-            message.data_centre,
-            message.configuration_offset,
-            message.draining,
-            message.running,
-            message.queued,
-            message.slots,
-            frozenset(
-                configuration.ModelVersion(v.model, v.version)
-                for v in message.loaded
-            ),
-            self._table.clock.monotonic(),
-            message.sequence,
-            message.stalled,
-        )
-        self._has_heard.ring()
-        self._table.take_heartbeat(self, source, message)
-
-    async def push_configuration(self) -> bool:
-        """Bring the agent up to this entry; return whether it is there."""
-        news = self._table.follower.read_since(
-            self._state.configuration_offset if self._state else -1
-        )
-        if news is None:
-            news = self._table.follower.read_all_kept()
-        try:
-            offset = await self.pick_any().push_configuration(
-                wire_codec.encode_records(news)
-            )
-        except errors.PeerError as error:
-            _LOGGER.debug("push failed", extra={"detail": str(error)})
-            return False
-        return offset >= self._table.follower.state.offset
-
-    async def pull_configuration(self) -> None:
-        """Catch up from the agent."""
-        try:
-            message = await self.pick_any().pull_configuration(
-                self._table.follower.state.offset
-            )
-        except errors.PeerError as error:
-            _LOGGER.debug("pull failed", extra={"detail": str(error)})
-            return
-        self._table.follower.adopt(wire_codec.decode_records(message))
-
-    def close(self) -> None:
-        """Drop all connections."""
-        self._keeper.cancel()
-        for watch in self._watches:
-            watch.cancel()
-        for dialled in self._connections:
-            dialled.close()
-
-
-class LinkTable:
+class LinkTable(agent_link.LinkHost):
     """The links to all agents.
 
     :param instances: the platform's list.
@@ -274,6 +46,7 @@
     :param system_clock: tells the time.
     :param watch_settings: how connections are watched.
     :param refresh_seconds: the time between looks at the list.
+    :param bounds: which part of a large fleet this entry links to.
     :param context: for TLS; None for plain connections.
     """
 
@@ -285,12 +58,16 @@
         system_clock: clock.Clock,
         watch_settings: connection.WatchSettings,
         refresh_seconds: float,
+        bounds: LinkBounds,
         context: ssl.SSLContext | None = None,
     ) -> None:
         self._context = context
         self._instances = instances
+        self._bounds = bounds
+        self._listed: dict[str, instance_list.Instance] = {}
+        self._avoided: dict[str, float] = {}
         self._refresh_seconds = refresh_seconds
-        self._links: dict[str, AgentLink] = {}
+        self._links: dict[str, agent_link.AgentLink] = {}
         self._unlisted_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._entry_count = 1
@@ -341,16 +118,23 @@
         """How many live entries the platform lists."""
         return self._entry_count
 
-    def list_links(self) -> collections.abc.Collection[AgentLink]:
+    def list_links(self) -> collections.abc.Collection[agent_link.AgentLink]:
         """Return all links."""
         return self._links.values()
 
-    def find_link(self, address: str) -> AgentLink | None:
+    def find_link(self, address: str) -> agent_link.AgentLink | None:
         """Return the link to an address, or None.
 
         :param address: the agent's IP number and port.
         """
-        return self._links.get(address)
+        if address not in self._links and address in self._listed:
+            # Asked for by name; it gets no new work.
+            self._links[address] = agent_link.AgentLink(address, self)
+            self._links[address].set_chosen(False)
+        link = self._links.get(address)
+        if link is not None:
+            link.note_asked()
+        return link
 
     async def run(self) -> None:
         """Follow the platform's list until cancelled."""
@@ -369,12 +153,40 @@
         self._entry_count = sum(
             i.role == "entry" and not i.is_leaving for i in listed
         )
-        for address, instance in agents.items():
-            if address not in self._links:
-                self._links[address] = AgentLink(address, self)
-            self._links[address].set_listed_leaving(instance.is_leaving)
+        self._listed = agents
+        self._apply_choice(self._choose(agents))
+        for address, link in self._links.items():
+            if address in agents:
+                link.set_listed_leaving(agents[address].is_leaving)
         self._forget_unlisted(agents)
 
+    def _choose(
+        self, agents: dict[str, instance_list.Instance]
+    ) -> frozenset[str]:
+        now = self._clock.monotonic()
+        for address, link in self._links.items():
+            if link.is_avoided(now):
+                self._avoided[address] = now + FORGET_SECONDS
+        self._avoided = {a: u for a, u in self._avoided.items() if u > now}
+        return link_choice.choose(
+            self._bounds.entry,
+            agents,
+            self._avoided,
+            self._follower.state.bundle,
+            self._bounds.max_links,
+        )
+
+    def _apply_choice(self, chosen: frozenset[str]) -> None:
+        for address in chosen:
+            if address not in self._links:
+                self._links[address] = agent_link.AgentLink(address, self)
+            self._links[address].set_chosen(True)
+        for address in set(self._listed) & set(self._links) - chosen:
+            link = self._links[address]
+            link.set_chosen(False)
+            if link.is_idle:
+                self._links.pop(address).close()
+
     def _forget_unlisted(
         self, agents: collections.abc.Mapping[str, instance_list.Instance]
     ) -> None:
@@ -395,7 +207,7 @@
 
     def take_heartbeat(
         self,
-        link: AgentLink,
+        link: agent_link.AgentLink,
         source: connection.Connection,
         message: wire_pb2.Heartbeat,
     ) -> None:
@@ -414,7 +226,7 @@
         elif message.configuration_offset < own:
             self.spawn(self._push(link))
 
-    async def _push(self, link: AgentLink) -> None:
+    async def _push(self, link: agent_link.AgentLink) -> None:
         await link.push_configuration()
 
     def spawn(
--- a/packages/wagtailstream-entry/wagtailstream_entry/settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settings.py
@@ -20,9 +20,12 @@
         balancer ends TLS.
     :param heartbeat_seconds: the time between heartbeats; well below the
         silence after which either end drops the connection.
+    :param max_links: how many agents this entry links to, of a larger fleet
+        by pool.
     """
 
     session_keys: settings.Keys
     caller_tls: CallerTls | None = None
     heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=1.5)
+    max_links: int = pydantic.Field(default=128, ge=1, le=4096)
     refresh_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -12,6 +12,7 @@
 import orjson
 import requests
 import uuid_utils
+import yaml
 
 from standins import demo, fleet, processes
 
@@ -56,6 +57,29 @@
         return self.headers["Wagtail-Request-Id"]
 
 
+def write_bundle(
+    directory: pathlib.Path, engines: int, data_centre: str = ""
+) -> pathlib.Path:
+    """Write the small bundle with more engines; return its path.
+
+    :param engines: how many engines in all.
+    :param data_centre: where the further ones stand; by default in turn.
+    """
+    value = yaml.safe_load(BUNDLE.read_text())
+    places = value["data_centres"]
+    value["endpoints"] += [
+        {
+            "name": f"drafting-{number}",
+            "data_centre": data_centre or places[number % len(places)],
+            "models": ["drafter", "large"],
+        }
+        for number in range(3, engines + 1)
+    ]
+    path = directory / "bundle.yaml"
+    path.write_text(yaml.safe_dump(value))
+    return path
+
+
 def make_key() -> str:
     """Return a new idempotency key."""
     return str(uuid_utils.uuid7())
--- a/tests/integration/test_crash.py
+++ b/tests/integration/test_crash.py
@@ -5,7 +5,6 @@
 import signal
 
 import pytest
-import yaml
 
 from standins import fleet
 from tests.integration import support
@@ -15,26 +14,9 @@
 CRASH = "Draft it. [crash]"
 
 
-def write_bundle(directory: pathlib.Path, engines: int) -> pathlib.Path:
-    """Write the small bundle with more engines; return its path."""
-    value = yaml.safe_load(support.BUNDLE.read_text())
-    places = value["data_centres"]
-    value["endpoints"] += [
-        {
-            "name": f"drafting-{number}",
-            "data_centre": places[number % len(places)],
-            "models": ["drafter", "large"],
-        }
-        for number in range(3, engines + 1)
-    ]
-    path = directory / "bundle.yaml"
-    path.write_text(yaml.safe_dump(value))
-    return path
-
-
 @pytest.fixture
 def started(tmp_path: pathlib.Path) -> collections.abc.Iterator[fleet.Fleet]:
-    path = write_bundle(tmp_path, ENGINES)
+    path = support.write_bundle(tmp_path, ENGINES)
     with support.run_fleet(entries=3, bundle_path=path) as running:
         yield running
 
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -47,6 +47,7 @@
             answer = support.chat(entry, f"Draft number {number}.")
             assert answer.is_whole
             assert answer.headers["Wagtail-Endpoint"] != name
+        assert is_usable(started, name) == [False] * len(started.entries)
     for entry, counters in zip(started.entries, before, strict=True):
         now = started.fetch_status(entry)["counters"]
         assert [n for n in now if "retried" in n] == [
