Prove freshness, and keep the configuration past retention

SnapshotKeeper does, from half the retention on, at a drawn time; it also does after an outage past retention. - A peer behind a gap stayed behind for good.

--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import logging
+import random
 import signal
 import typing
 
@@ -37,6 +38,7 @@
     log_client,
     metrics,
     reporter,
+    snapshot_keeper,
     strike_board,
     tls,
 )
@@ -64,10 +66,20 @@
         self._follower = follower.Follower(
             self._log,
             agent_settings.load_keyring(),
+            agent_settings.load_fleet_signer(),
             agent_settings.data_centre,
             self._clock,
             self._metrics,
         )
+        self._keeper = snapshot_keeper.SnapshotKeeper(
+            self._log,
+            self._follower,
+            agent_settings.load_fleet_signer(),
+            agent_settings.platform.retention_seconds,
+            self._clock,
+            random.Random(),
+            self._metrics,
+        )
         self._outbox = bill_outbox.BillOutbox(
             self._log,
             agent_settings.bill_buffer,
@@ -246,6 +258,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
         self._start(self._follower.run())
+        self._start(self._keeper.run())
         self._start(self._outbox.run())
         self._start(reporter.Reporter(self._metrics, self._read_gauges).run())
         if self._loader is not None:
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -222,7 +222,7 @@
         """
         message = await stream.recv_message()
         if message is not None:
-            self._follower.adopt(wire_codec.decode_records(message))
+            self._follower.take_offer(wire_codec.decode_offer(message))
         await stream.send_message(
             wire_pb2.ConfigurationPosition(offset=self._follower.state.offset)
         )
@@ -236,10 +236,8 @@
         """
         message = await stream.recv_message()
         offset = message.offset if message is not None else -1
-        found = self._follower.read_since(offset)
-        if found is None:
-            found = self._follower.read_all_kept()
-        await stream.send_message(wire_codec.encode_records(found))
+        offer = self._follower.make_offer(offset)
+        await stream.send_message(wire_codec.encode_offer(offer))
 
     async def FetchResult(self, stream: FetchStream) -> None:  # noqa: N802
         """Give the result of a request that this agent claimed.
--- a/packages/wagtailstream-core/wagtailstream_core/configuration.py
+++ b/packages/wagtailstream-core/wagtailstream_core/configuration.py
@@ -6,13 +6,10 @@
 record) that it was based on, and is rejected once that is no longer current.
 """
 
-import collections.abc
 import dataclasses
 import enum
 import typing
 
-import pydantic
-
 from wagtailstream_core import bundle, canonical, errors, records, signing
 
 NO_OFFSET = -1
@@ -158,13 +155,7 @@
         return Folded(moved, error.verdict, str(error))
     if changed is moved:
         return Folded(moved, Verdict.IGNORED)
-    if changed.quarantined != moved.quarantined:
-        # Quarantines commute with operators' changes: the revision stays.
-        return Folded(changed, Verdict.ACCEPTED)
-    return Folded(
-        dataclasses.replace(changed, revision=record.offset),
-        Verdict.ACCEPTED,
-    )
+    return Folded(changed, Verdict.ACCEPTED)
 
 
 def _apply(
@@ -185,13 +176,15 @@
     if isinstance(body, records.Snapshot):
         return state
     if isinstance(body, records.Quarantine):
+        # Quarantines commute with operators' changes: the revision stays.
         return _apply_quarantine(state, body, record.time)
     if body.base != state.revision:
         raise _RejectedError(
             Verdict.STALE_BASE,
             f"based on {body.base}, but {state.revision} is current",
         )
-    return _apply_change(state, body, verified.key_id)
+    changed = _apply_change(state, body, verified.key_id)
+    return dataclasses.replace(changed, revision=record.offset)
 
 
 def _apply_change(
@@ -314,76 +307,3 @@
     others = tuple(r for r in state.rollouts if r.model != body.model)
     reached = RolloutStage(body.model, body.candidate, body.stage)
     return dataclasses.replace(state, rollouts=(*others, reached))
-
-
-_STATE_ADAPTER: pydantic.TypeAdapter[Configuration] = pydantic.TypeAdapter(
-    Configuration
-)
-
-
-def dump_state(state: Configuration) -> dict[str, typing.Any]:
-    """Return a state as JSON types, for a snapshot record.
-
-    :param state: the state to write down.
-    """
-    dumped: dict[str, typing.Any] = _STATE_ADAPTER.dump_python(
-        state, mode="json"
-    )
-    return dumped
-
-
-def load_state(value: dict[str, typing.Any]) -> Configuration:
-    """Return the state that a snapshot holds.
-
-    :param value: what :func:`dump_state` returned.
-    :raises errors.BundleError: the value is no valid state.
-    """
-    try:
-        return _STATE_ADAPTER.validate_python(value)
-    except pydantic.ValidationError as error:
-        raise errors.BundleError("load state", "snapshot", str(error)) from (
-            error
-        )
-
-
-def restore(
-    log_records: collections.abc.Sequence[LogRecord],
-    first_retained: int,
-    keyring: signing.Keyring,
-) -> Configuration | None:
-    """Return the state of a reader that starts with nothing.
-
-    While the log still holds its first record, all of it is folded. After
-    that the newest snapshot whose later records are all retained is the
-    start; None where there is no such snapshot.
-
-    :param log_records: all retained records, in log order.
-    :param first_retained: the earliest offset that the log still holds.
-    :param keyring: the keys that are trusted.
-    """
-    start: Configuration | None = None
-    if first_retained == 0:
-        start = Configuration()
-    else:
-        for record in log_records:
-            start = _find_start(record, first_retained, keyring) or start
-    if start is None:
-        return None
-    for record in log_records:
-        start = fold(start, record, keyring).configuration
-    return start
-
-
-def _find_start(
-    record: LogRecord, first_retained: int, keyring: signing.Keyring
-) -> Configuration | None:
-    try:
-        body = records.decode(keyring.verify(record.payload).body)
-        if not isinstance(body, records.Snapshot):
-            return None
-        if not first_retained - 1 <= body.as_of < record.offset:
-            return None
-        state = load_state(body.state)
-    except (errors.SignatureError, errors.BundleError):
-        return None
-    return state if state.offset == body.as_of else None
--- a/packages/wagtailstream-core/wagtailstream_core/signing.py
+++ b/packages/wagtailstream-core/wagtailstream_core/signing.py
@@ -55,6 +55,13 @@
         """The identifier under which verifiers know the key."""
         return self._key_id
 
+    @property
+    def public_key(self) -> bytes:
+        """The 32 raw bytes of the public key."""
+        return self._key.public_key().public_bytes(
+            serialization.Encoding.Raw, serialization.PublicFormat.Raw
+        )
+
     def sign(self, message: bytes) -> bytes:
         """Return the Ed25519 signature of a message.
 
--- a/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
@@ -8,6 +8,7 @@
     configuration,
     errors,
     freshness,
+    snapshots,
     strikes,
     wire_pb2,
     work,
@@ -326,40 +327,42 @@
     ]
 
 
-def encode_records(
-    log_records: collections.abc.Iterable[configuration.LogRecord],
+def encode_offer(
+    offer: snapshots.Offer,
 ) -> wire_pb2.ConfigurationRecords:
-    """Return configuration records for a peer.
+    """Return what brings a peer up to date.
 
-    :param log_records: records in log order.
+    :param offer: a snapshot, if need be, and records in log order.
     """
     return wire_pb2.ConfigurationRecords(
+        snapshot=offer.snapshot,
         records=[
             wire_pb2.ConfigurationRecord(
                 offset=record.offset,
                 payload=record.payload,
                 appended_unix_ms=to_milliseconds(record.time),
             )
-            for record in log_records
-        ]
+            for record in offer.records
+        ],
     )
 
 
-def decode_records(
-    message: wire_pb2.ConfigurationRecords,
-) -> list[configuration.LogRecord]:
-    """Return configuration records from a peer.
+def decode_offer(message: wire_pb2.ConfigurationRecords) -> snapshots.Offer:
+    """Return what a peer sent to bring this instance up to date.
 
     :param message: the wire's message.
     """
-    return [
-        configuration.LogRecord(
-            record.offset,
-            record.payload,
-            to_seconds(record.appended_unix_ms),
-        )
-        for record in message.records
-    ]
+    return snapshots.Offer(
+        tuple(
+            configuration.LogRecord(
+                record.offset,
+                record.payload,
+                to_seconds(record.appended_unix_ms),
+            )
+            for record in message.records
+        ),
+        message.snapshot,
+    )
 
 
 def add_strikes(
--- a/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
@@ -309,14 +309,12 @@
 
     async def push_configuration(self) -> bool:
         """Bring the agent up to this entry; return whether it is there."""
-        news = self._table.follower.read_since(
+        offer = self._table.follower.make_offer(
             self._state.configuration_offset if self._state else -1
         )
-        if news is None:
-            news = self._table.follower.read_all_kept()
         try:
             offset = await self.pick_any().push_configuration(
-                wire_codec.encode_records(news)
+                wire_codec.encode_offer(offer)
             )
         except errors.PeerError as error:
             _LOGGER.debug("push failed", extra={"detail": str(error)})
@@ -332,7 +330,7 @@
         except errors.PeerError as error:
             _LOGGER.debug("pull failed", extra={"detail": str(error)})
             return
-        self._table.follower.adopt(wire_codec.decode_records(message))
+        self._table.follower.take_offer(wire_codec.decode_offer(message))
 
     def close(self) -> None:
         """Drop all connections."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -42,6 +42,7 @@
     instance_list,
     log_client,
     reporter,
+    snapshot_keeper,
     strike_board,
     tls,
 )
@@ -73,10 +74,20 @@
         self._follower = follower.Follower(
             self._log,
             entry_settings.load_keyring(),
+            entry_settings.load_fleet_signer(),
             entry_settings.data_centre,
             self._clock,
             self._metrics,
         )
+        self._keeper = snapshot_keeper.SnapshotKeeper(
+            self._log,
+            self._follower,
+            entry_settings.load_fleet_signer(),
+            entry_settings.platform.retention_seconds,
+            self._clock,
+            random.Random(),
+            self._metrics,
+        )
         self._outbox = bill_outbox.BillOutbox(
             self._log,
             entry_settings.bill_buffer,
@@ -279,6 +290,7 @@
             asyncio.ensure_future(coroutine)
             for coroutine in (
                 self._follower.run(),
+                self._keeper.run(),
                 self._outbox.run(),
                 self._table.run(),
                 reporter.Reporter(self._metrics, self._read_gauges).run(),
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli_change.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli_change.py
@@ -95,8 +95,8 @@
     log = log_client.HttpLogClient(str(loaded.log))
     keyring = loaded.load_keyring()
     state = await operations.fetch_configuration(log, keyring)
-    payload = seal(state, loaded)
-    return await operations.append_record(log, keyring, payload, APPEND_TRIES)
+    change = operations.Change(seal(state, loaded), state)
+    return await operations.append_record(log, keyring, change, APPEND_TRIES)
 
 
 def _wait_in_force(
@@ -209,17 +209,49 @@
 
 @click.command()
 @click.argument("model")
+@click.option(
+    "--to",
+    "target",
+    type=click.IntRange(min=1),
+    help="Go on to this stage, counted from 0; by default one stage.",
+)
 @_add_options
 def advance(
     model: str,
+    target: int | None,
     settings_path: pathlib.Path,
     wait_seconds: float,
     output_format: str,
 ) -> None:
-    """Move the roll-out of MODEL to its next stage.
+    """Move the roll-out of MODEL to its next stage, or on to a stage.
+
+    With --to, the command goes on from the stage that the log shows, waits
+    until each stage is in force, and does nothing once it is reached. An
+    interrupted roll-out is picked up by giving the same command again,
+    anywhere.
 
-    Example: wagtailstream bundle advance drafter --settings alice.yaml
+    Example: wagtailstream bundle advance drafter --to 2 --settings alice.yaml
     """
+    if target is None:
+        _advance_once(settings_path, model, wait_seconds, output_format)
+        return
+    while (stage := _find_stage(settings_path, model)) < target:
+        click.echo(f"{model}: from stage {stage}", err=True)
+        try:
+            _advance_once(settings_path, model, wait_seconds, output_format)
+        except SystemExit as error:
+            # Another operator's step counts as well as this one.
+            if error.code != cli_output.EXIT_LOST:
+                raise
+    click.echo(f"{model}: stage {stage} reached", err=True)
+
+
+def _advance_once(
+    settings_path: pathlib.Path,
+    model: str,
+    wait_seconds: float,
+    output_format: str,
+) -> None:
     _change(
         settings_path,
         _seal_with(lambda state: operations.make_advance(model, state)),
@@ -228,6 +260,20 @@
     )
 
 
+def _find_stage(settings_path: pathlib.Path, model: str) -> int:
+    loaded = load_settings(settings_path)
+    log = log_client.HttpLogClient(str(loaded.log))
+    try:
+        state = asyncio.run(
+            operations.fetch_configuration(log, loaded.load_keyring())
+        )
+        return operations.find_stage(model, state).stage
+    except errors.LogUnavailableError as error:
+        cli_output.fail(str(error), cli_output.EXIT_FAILED)
+    except errors.WagtailstreamError as error:
+        cli_output.fail(str(error), cli_output.EXIT_INVALID)
+
+
 @click.command()
 @click.argument("model")
 @click.argument("version")
--- a/packages/wagtailstream-entry/wagtailstream_entry/operations.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/operations.py
@@ -17,6 +17,7 @@
     errors,
     records,
     signing,
+    snapshots,
 )
 from wagtailstream_platform import log_client
 
@@ -77,67 +78,105 @@
         usable snapshot.
     """
     whole = await log.read_all(records.STREAM)
-    found = configuration.restore(whole.records, whole.first, keyring)
+    found = snapshots.restore(whole.records, whole.first, keyring)
     if found is None:
         raise errors.LogUnavailableError(
             "restore", "log", "no snapshot covers the retained records"
         )
-    return found
+    return found.configuration
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """A sealed record with the configuration that it was made from."""
+
+    payload: bytes
+    made_from: configuration.Configuration
 
 
 async def append_record(
     log: log_client.LogClient,
     keyring: signing.Keyring,
-    payload: bytes,
+    change: Change,
     tries: int,
 ) -> Published:
     """Append a sealed record and return the verdict on it.
 
     A lost answer is resolved by reading the stream: the record is either
-    there, or is appended again.
+    there, or is appended again. An append that was answered is never
+    repeated, however long the reader's replica lags behind it.
 
     :param log: the platform's log.
     :param keyring: the keys that are trusted.
-    :param payload: the sealed record.
+    :param change: the sealed record.
     :param tries: how often to try while the log is unavailable.
     :raises errors.LogUnavailableError: the log did not answer.
     """
+    is_appended = False
     for remaining in range(tries - 1, -1, -1):
         try:
-            found = await _find_published(log, keyring, payload)
+            found = await _find_published(log, keyring, change)
             if found is not None:
                 return found
-            await log.append(records.STREAM, payload)
+            if not is_appended:
+                await log.append(records.STREAM, change.payload)
+                is_appended = True
+                continue
         except errors.LogUnavailableError:
             if not remaining:
                 raise
-            await asyncio.sleep(RETRY_SECONDS)
-    found = await _find_published(log, keyring, payload)
+        await asyncio.sleep(RETRY_SECONDS)
+    found = await _find_published(log, keyring, change)
     if found is None:
         raise errors.LogUnavailableError("append", "log", "no verdict")
     return found
 
 
 async def _find_published(
-    log: log_client.LogClient, keyring: signing.Keyring, payload: bytes
+    log: log_client.LogClient, keyring: signing.Keyring, change: Change
 ) -> Published | None:
+    """Return the verdict on a change, or None if it is not in the log.
+
+    The fold goes on from the configuration that the change was made from,
+    so that no snapshot has to stand before it. Only for bytes that were
+    appended before that, a start is looked for in the log.
+    """
     whole = await log.read_all(records.STREAM)
-    place = next((r for r in whole.records if r.payload == payload), None)
-    if place is None:
-        return None
-    before = configuration.restore(
-        [r for r in whole.records if r.offset < place.offset],
-        whole.first,
-        keyring,
+    place = next(
+        (r for r in whole.records if r.payload == change.payload), None
     )
-    if before is None:
+    state: configuration.Configuration | None = change.made_from
+    if whole.first > change.made_from.offset + 1 or (
+        place is not None and place.offset <= change.made_from.offset
+    ):
+        state = _restore_before(whole, place, keyring)
+    if place is None:
         return None
-    folded = configuration.fold(before, place, keyring)
+    if state is None:
+        raise errors.LogUnavailableError(
+            "find record", "log", "the log has dropped what came before it"
+        )
+    for record in whole.records:
+        if record.offset < place.offset:
+            state = configuration.fold(state, record, keyring).configuration
+    folded = configuration.fold(state, place, keyring)
     return Published(
         place.offset, folded.verdict, folded.detail, folded.configuration
     )
 
 
+def _restore_before(
+    whole: log_client.Slice,
+    place: configuration.LogRecord | None,
+    keyring: signing.Keyring,
+) -> configuration.Configuration | None:
+    before = [
+        r for r in whole.records if place is None or r.offset < place.offset
+    ]
+    found = snapshots.restore(before, whole.first, keyring)
+    return found.configuration if found is not None else None
+
+
 def make_publish(
     document: dict[str, object], state: configuration.Configuration
 ) -> records.Publish:
@@ -160,22 +199,39 @@
     return records.Approve(base=state.revision, digest=digest)
 
 
-def make_advance(
+def find_stage(
     model: str, state: configuration.Configuration
-) -> records.Advance:
-    """Return the record that moves a roll-out to its next stage.
+) -> configuration.RolloutStage:
+    """Return how far the roll-out of a model has come.
 
     :param model: the model's name.
-    :param state: the configuration that it is based on.
+    :param state: the configuration.
     :raises errors.BundleError: there is no roll-out of the model.
     """
     found = state.bundle.find_model(model) if state.bundle else None
     if found is None or found.rollout is None:
         raise errors.BundleError("advance", model, "has no roll-out")
     candidate = found.rollout.candidate
-    stage = state.find_stage(model, candidate) + 1
+    return configuration.RolloutStage(
+        model, candidate, state.find_stage(model, candidate)
+    )
+
+
+def make_advance(
+    model: str, state: configuration.Configuration
+) -> records.Advance:
+    """Return the record that moves a roll-out to its next stage.
+
+    :param model: the model's name.
+    :param state: the configuration that it is based on.
+    :raises errors.BundleError: there is no roll-out of the model.
+    """
+    reached = find_stage(model, state)
     return records.Advance(
-        base=state.revision, model=model, candidate=candidate, stage=stage
+        base=state.revision,
+        model=model,
+        candidate=reached.candidate,
+        stage=reached.stage + 1,
     )
 
 
--- a/packages/wagtailstream-platform/wagtailstream_platform/log_client.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/log_client.py
@@ -14,6 +14,7 @@
 
 APPEND_TIMEOUT_SECONDS = 2.0
 READ_TIMEOUT_SECONDS = 3.0
+POLL_MARGIN_SECONDS = 1.0
 MAX_LONG_POLL_SECONDS = 1.0
 READ_LIMIT_RECORDS = 500
 _TOO_MANY_REQUESTS = 429
@@ -210,11 +211,16 @@
         :param wait_seconds: how long to wait for a record if there is none.
         :raises errors.LogUnavailableError: the log did not answer.
         """
+        limit_seconds = (
+            wait_seconds + POLL_MARGIN_SECONDS
+            if wait_seconds
+            else READ_TIMEOUT_SECONDS
+        )
         request = httpclient.HTTPRequest(
             f"{self._url}/streams/{stream}/records"
             f"?from={offset}&limit={READ_LIMIT_RECORDS}&wait={wait_seconds}",
-            request_timeout=READ_TIMEOUT_SECONDS,
-            connect_timeout=READ_TIMEOUT_SECONDS,
+            request_timeout=limit_seconds,
+            connect_timeout=limit_seconds,
         )
         try:
             response = await self._client.fetch(request)
--- a/packages/wagtailstream-platform/wagtailstream_platform/metrics.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/metrics.py
@@ -23,6 +23,8 @@
     RECORDS_ACCEPTED = "configuration.accepted"
     RECORDS_REJECTED = "configuration.rejected"
     LOG_FAILURES = "log.failures"
+    LOG_LAGGING = "log.lagging"
+    SNAPSHOTS_APPENDED = "configuration.snapshots"
     BILLS_APPENDED = "bills.appended"
     BILLS_HELD = "bills.held"
     PEERS_REFUSED = "peers.refused"
--- a/packages/wagtailstream-platform/wagtailstream_platform/settings.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/settings.py
@@ -153,11 +153,15 @@
 
 
 class Platform(Section):
-    """The addresses of the platform's services."""
+    """The addresses of the platform's services.
+
+    :param retention_seconds: how long the log keeps records.
+    """
 
     log: pydantic.HttpUrl
     instances: pydantic.HttpUrl
     rating: pydantic.HttpUrl | None = None
+    retention_seconds: float = pydantic.Field(default=86400.0, gt=0)
 
 
 class Common(Section):
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the core: folds and decisions."""
--- a/tests/core/test_fuzz.py
+++ b/tests/core/test_fuzz.py
@@ -18,6 +18,7 @@
     records,
     session,
     signing,
+    snapshots,
 )
 from wagtailstream_entry import deadline, parse_chat
 
@@ -54,7 +55,7 @@
 DECODERS: dict[str, collections.abc.Callable[[bytes], object]] = {
     "envelope": KEYRING.verify,
     "record": lambda raw: records.decode(orjson.loads(raw)),
-    "state": lambda raw: configuration.load_state(orjson.loads(raw)),
+    "state": lambda raw: snapshots.load_state(orjson.loads(raw)),
     "bundle": lambda raw: bundle.parse(orjson.loads(raw), "fuzz"),
     "ledger": ledger.decode_batch,
     "bills": billing.decode_batch,
--- /dev/null
+++ b/tests/entry/test_operations.py
@@ -0,0 +1,88 @@
+"""The operators' commands under lost answers, lag and retention."""
+
+import pytest
+
+from tests.core import support as core_support
+from tests.platform import support
+from wagtailstream_core import clock, configuration, records, snapshots
+from wagtailstream_entry import operations
+
+TRIES = 5
+
+
+@pytest.fixture(autouse=True)
+def _no_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(operations, "RETRY_SECONDS", 0.0)
+
+
+@pytest.fixture
+async def log() -> support.FaultyLog:
+    made = support.FaultyLog(clock.ManualClock(1000.0))
+    await support.publish(made)
+    return made
+
+
+async def make_change(log: support.FaultyLog) -> operations.Change:
+    state = await operations.fetch_configuration(log, core_support.KEYRING)
+    record = operations.make_advance("drafter", state)
+    return operations.Change(
+        records.seal(record, core_support.SIGNERS["alice"]), state
+    )
+
+
+async def append(
+    log: support.FaultyLog, change: operations.Change
+) -> operations.Published:
+    return await operations.append_record(
+        log, core_support.KEYRING, change, TRIES
+    )
+
+
+async def test_a_lost_answer_is_resolved_by_reading(
+    log: support.FaultyLog,
+) -> None:
+    change = await make_change(log)
+    log.lost_answers = 1
+    published = await append(log, change)
+    assert published.verdict is configuration.Verdict.ACCEPTED
+    assert log.tail == 3
+
+
+async def test_a_replica_that_lags_makes_no_second_append(
+    log: support.FaultyLog,
+) -> None:
+    change = await make_change(log)
+    log.lag = 3
+    published = await append(log, change)
+    assert published.verdict is configuration.Verdict.ACCEPTED
+    assert log.tail == 3
+
+
+async def test_a_verdict_needs_no_snapshot_before_the_record(
+    log: support.FaultyLog,
+) -> None:
+    """Retention passes while the answer is on its way."""
+    change = await make_change(log)
+    await log.append(records.STREAM, change.payload)
+    state = await operations.fetch_configuration(log, core_support.KEYRING)
+    signer = core_support.SIGNERS["fleet"]
+    await log.append(records.STREAM, snapshots.seal(state, signer))
+    del log.records[:2]
+    published = await append(log, change)
+    assert published.verdict is configuration.Verdict.ACCEPTED
+    assert published.offset == 2
+
+
+async def test_of_two_from_the_same_base_one_wins(
+    log: support.FaultyLog,
+) -> None:
+    first, second = await make_change(log), await make_change(log)
+    record = records.Withdraw(base=1, model="drafter", version="2")
+    second = operations.Change(
+        records.seal(record, core_support.SIGNERS["bob"]), second.made_from
+    )
+    verdicts = [(await append(log, c)).verdict for c in (first, second)]
+    assert verdicts == [
+        configuration.Verdict.ACCEPTED,
+        configuration.Verdict.STALE_BASE,
+    ]
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the clients of the platform."""
