Prove the configuration's promises with real processes

Stand-ins: own proxied routes for each instance, a log replica that lags, an endpoint started anew, entries with their own settings. Ruled out while writing: an operators' command counts a killed agent as "not yet on" until its link is forgotten; that is truthful, so the tests do not wait for killed ones.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -136,7 +136,6 @@
         for index in range(entries):
             port = entry_ports[index] if index < len(entry_ports) else 0
             self.start_entry(port)
-        self._write_operators()
 
     def _make_keys(self) -> None:
         for name in OPERATORS:
@@ -320,7 +319,6 @@
         entry = self._group.start(
             name, "-m", "wagtailstream_entry.cli", "serve", str(path)
         )
-        self._entries.append(entry)
         self._put_instance(
             name,
             {
@@ -330,13 +328,15 @@
                 "state": "live",
             },
         )
+        self._entries.append(entry)
+        self._write_operators()
         return entry
 
     def _write_operators(self) -> None:
         for name in OPERATORS:
             value = {
                 "log": self._platform["log"].url,
-                "entries": [entry.url for entry in self._entries],
+                "entries": [e.url for e in self._entries if e.is_running],
                 "key_id": name,
                 "private_key": {"file": str(self._directory / f"{name}.key")},
                 "operator_keys": self._operator_keys,
--- a/standins/log.py
+++ b/standins/log.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import bisect
+import collections.abc
 import dataclasses
 import time
 import typing
@@ -26,6 +27,7 @@
     lose_answers: int = 0
     append_delay_seconds: float = 0.0
     read_lag_seconds: float = 0.0
+    replica_lag_seconds: float = 0.0
     append_rate: float = APPENDS_PER_SECOND
     retention_seconds: float = RETENTION_SECONDS
 
@@ -125,6 +127,7 @@
         """Return the URL rules of the log."""
         return [
             (r"/streams/([^/]+)/records", RecordsHandler),
+            (r"/replica/streams/([^/]+)/records", ReplicaHandler),
             (r"/stats", StatsHandler),
         ]
 
@@ -151,19 +154,24 @@
         return True
 
     async def read(
-        self, name: str, start: int, limit: int, deadline: float
+        self,
+        name: str,
+        start: int,
+        limit: int,
+        deadline: float,
+        find_lag: collections.abc.Callable[[], float],
     ) -> dict[str, typing.Any]:
-        """Read visible records; wait for one until the deadline."""
+        """Read the records older than the lag; wait until the deadline."""
         while True:
             if self.faults.outage:
                 raise tornado.web.HTTPError(503, reason="outage")
             stream = self.stream(name)
-            lag = self.faults.read_lag_seconds
+            lag = find_lag()
             end = stream.visible_end(time.time() - lag)
             remaining = deadline - time.monotonic()
             if end > max(start, stream.first) or remaining <= 0:
                 break
-            await stream.wait(self._wait_seconds(stream, end, remaining))
+            await stream.wait(self._wait_seconds(stream, end, remaining, lag))
         stop = min(end, max(start, stream.first) + limit)
         return {
             "first": stream.first,
@@ -172,12 +180,12 @@
         }
 
     def _wait_seconds(
-        self, stream: Stream, end: int, remaining: float
+        self, stream: Stream, end: int, remaining: float, lag: float
     ) -> float:
         hidden = stream.slice(end, end + 1) if end < stream.tail else []
         if not hidden:
             return remaining
-        visible_at = hidden[0].time + self.faults.read_lag_seconds
+        visible_at = hidden[0].time + lag
         return max(0.001, min(remaining, visible_at - time.time()))
 
 
@@ -217,7 +225,14 @@
         start = int(self.number("from", 0))
         limit = int(self.number("limit", DEFAULT_LIMIT))
         deadline = time.monotonic() + self.number("wait", 0)
-        self.reply(await self.service.read(name, start, limit, deadline))
+        self.reply(
+            await self.service.read(
+                name, start, limit, deadline, self._find_lag
+            )
+        )
+
+    def _find_lag(self) -> float:
+        return self.service.faults.read_lag_seconds
 
     def delete(self, name: str) -> None:
         """Drop the records below an offset."""
@@ -226,6 +241,13 @@
         self.reply({"first": stream.first, "next": stream.tail})
 
 
+class ReplicaHandler(RecordsHandler):
+    """Appends as the log itself, and reads from a replica that lags."""
+
+    def _find_lag(self) -> float:
+        return self.service.faults.replica_lag_seconds
+
+
 class StatsHandler(service.Handler[Log]):
     """Shows the counters."""
 
--- /dev/null
+++ b/tests/integration/test_configuration_rollout.py
@@ -0,0 +1,58 @@
+"""A roll-out that was interrupted is picked up from anywhere."""
+
+import concurrent.futures
+import pathlib
+import subprocess
+import sys
+
+from standins import fleet
+from tests.integration import configuration_support as shared
+from tests.integration import support
+
+ADVANCE = ("bundle", "advance", "drafter", "--to", "2")
+
+
+def find_stages(started: fleet.Fleet) -> set[int]:
+    return {
+        rollout["stage"]
+        for entry in started.entries
+        for rollout in started.fetch_status(entry)["rollouts"]
+    }
+
+
+def test_an_interrupted_rollout_is_picked_up(tmp_path: pathlib.Path) -> None:
+    """The operator's command dies while stage 1 isn't in force yet."""
+    path = shared.write_bundle(tmp_path, shared.add_stages)
+    with support.run_fleet(entries=2, bundle_path=path) as started:
+        base = shared.fetch_revision(started)
+        paused = started.endpoints["drafting-2"].agent
+        paused.freeze()
+        settings = str(started.directory / "alice.yaml")
+        command = subprocess.Popen(
+            [sys.executable, "-m", "wagtailstream_entry.cli", *ADVANCE]
+            + ["--settings", settings, "--wait", "60"],
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+        )
+        started.wait_until(lambda: find_stages(started) == {1}, "no stage 1")
+        command.kill()
+        command.wait()
+        assert find_stages(started) == {1}
+        paused.thaw()
+        started.operate("bob", *ADVANCE)
+        assert find_stages(started) == {2}
+        started.operate("alice", *ADVANCE)
+        assert shared.fetch_revision(started) == base + 2
+
+
+def test_two_operators_advance_at_once(tmp_path: pathlib.Path) -> None:
+    """Each stage is reached once, however their steps fall together."""
+    path = shared.write_bundle(tmp_path, shared.add_stages)
+    with support.run_fleet(entries=2, bundle_path=path) as started:
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            done = [
+                pool.submit(started.operate, name, *ADVANCE)
+                for name in fleet.OPERATORS
+            ]
+        assert [f.result().returncode for f in done] == [0, 0]
+        assert find_stages(started) == {2}
