--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -74,6 +74,7 @@
     config_follower = follower.Follower(
         log_client.MemoryLog(),
         signing.Keyring({}, {KEY: SECRET}),
+        signing.FleetSigner(KEY, SECRET),
         "dc-1",
         system_clock,
         counters,
