Route by the estimated load, not the reported one

Cause: the larger of reported load and own requests in flight forgets one of the two. Between two reports an entry either repeats its own burst or counts requests that have ended long ago. Change: others' load as of the report plus the entry's own now; suspects are drawn only where all are; an endpoint is suspect also when two heartbeats are missed or when it holds our requests and sends nothing for 2 s.

--- a/experiments/engine_model.py
+++ b/experiments/engine_model.py
@@ -163,3 +163,25 @@
         self._note_load()
         job.on_done()
         self._start_jobs()
+
+
+def find_capacity(
+    shape: workload.Shape, engine: EngineShape, engines: int
+) -> float:
+    """Return about how many requests a second full engines can serve.
+
+    :param shape: whose requests.
+    :param engine: the size of each engine.
+    :param engines: how many.
+    """
+    interval = engine.token_seconds * (1.0 + engine.batch_slowdown)
+    mean = sum(
+        kind.share
+        * (
+            kind.output_tokens * interval
+            + (kind.prefix_tokens + kind.own_tokens)
+            / engine.prefill_tokens_per_second
+        )
+        for kind in shape.classes
+    )
+    return engines * engine.slots / mean
--- a/experiments/registry.py
+++ b/experiments/registry.py
@@ -1,8 +1,8 @@
 """Every experiment, in the order in which they run."""
 
-from experiments import base
+from experiments import base, routing
 
 
 def list_experiments() -> tuple[base.Experiment, ...]:
     """Return all experiments."""
-    return ()
+    return (routing.RoutingExperiment(),)
--- /dev/null
+++ b/experiments/routing.py
@@ -0,0 +1,341 @@
+"""Routing: time to first token, cache hits and balance, by way.
+
+Entries see an endpoint's load as of their last heartbeat with it. While one
+data centre is cut, its entry gets no callers, and what the others have sent
+there fails once the silence is noticed and is sent anew.
+"""
+
+import collections.abc
+import dataclasses
+import random
+
+import numpy
+
+from experiments import (
+    base,
+    engine_model,
+    routing_ways,
+    simulation,
+    workload,
+)
+from wagtailstream_core import routing
+
+UTILISATION = 0.6
+RUN_SECONDS = 150.0
+FAULT_AT_SECONDS = 40.0
+SILENCE_SECONDS = 3.0
+STALL_SECONDS = 2.0
+ONE_WAY_SECONDS = 0.0015
+SLOWNESS = 4.0
+LAGS = (0.1, 1.0, 5.0)
+FAULTS = ("none", "slow", "frozen", "cut")
+FEW_ENTRIES = 3
+MANY_ENTRIES = 30
+REPETITIONS = 4
+ENGINE = engine_model.EngineShape()
+
+
+@dataclasses.dataclass(frozen=True)
+class RoutingRow(base.Row):
+    """Times to first token in seconds; an unanswered one counts whole.
+
+    Means over several seeds.
+
+    :param entries: how many entries share the endpoints.
+    :param lag: the time between load reports, in seconds.
+    :param hits: the share of prompts whose prefix was cached.
+    :param worst_share: the busiest endpoint's share times their number.
+    :param lost: the share of requests not answered by their deadline.
+    """
+
+    shape: str
+    entries: str
+    lag: str
+    fault: str
+    p50: float
+    p95: float
+    p99: float
+    hits: float
+    worst_share: float
+    lost: float
+
+
+class _Endpoint:
+    """An engine, where it stands, and what an entry sees of it."""
+
+    def __init__(self, engine: engine_model.Engine, place: int) -> None:
+        self.engine = engine
+        self.place = place
+
+
+class _Entry:
+    """One entry's view of the endpoints.
+
+    :param trial: the run it belongs to.
+    :param place: its data centre.
+    :param phase: when its heartbeats come, in seconds.
+    """
+
+    def __init__(
+        self,
+        trial: "_Trial",
+        place: int,
+        phase: float,
+        way: routing_ways.Way,
+    ) -> None:
+        self.place = place
+        self._trial = trial
+        self._phase = phase
+        self._way = way
+        self._in_flight = dict.fromkeys(trial.endpoints, 0)
+        self._at_report = dict.fromkeys(trial.endpoints, 0)
+        self._report = dict.fromkeys(trial.endpoints, 0)
+        self._progress_at = dict.fromkeys(trial.endpoints, 0.0)
+        self._heard_at = dict.fromkeys(trial.endpoints, 0.0)
+        trial.clock.at(phase, self._exchange_heartbeats)
+
+    def _exchange_heartbeats(self) -> None:
+        for name, endpoint in self._trial.endpoints.items():
+            if self._trial.is_cut(self.place, endpoint.place):
+                continue
+            self._report[name] = endpoint.engine.load
+            self._at_report[name] = self._in_flight[name]
+            self._heard_at[name] = self._trial.clock.now
+        self._trial.clock.after(self._trial.lag, self._exchange_heartbeats)
+
+    def _make_candidates(self) -> list[routing.Candidate]:
+        now = self._trial.clock.now
+        found = []
+        for name, endpoint in self._trial.endpoints.items():
+            silence = now - self._heard_at[name]
+            if silence > SILENCE_SECONDS + self._trial.lag:
+                continue
+            is_stalled = (
+                self._in_flight[name] > 0
+                and now - self._progress_at[name] > STALL_SECONDS
+            )
+            found.append(
+                routing.Candidate(
+                    name,
+                    self._report[name],
+                    self._in_flight[name],
+                    self._at_report[name],
+                    endpoint.engine.slots,
+                    endpoint.place == self.place,
+                    is_stalled or silence > 2.0 * self._trial.lag + 0.1,
+                )
+            )
+        return found
+
+    def send(self, request: workload.Request) -> None:
+        """Send a request to the endpoint that the way chooses."""
+        candidates = self._make_candidates()
+        name = self._way.choose(candidates, request.prefix)
+        endpoint = self._trial.endpoints[name]
+        now = self._trial.clock.now
+        if self._in_flight[name] == 0:
+            self._progress_at[name] = now
+        self._in_flight[name] += 1
+        self._trial.sent[name] += 1
+        if self._trial.is_cut(self.place, endpoint.place):
+            self._trial.clock.after(
+                SILENCE_SECONDS, lambda: self._send_anew(name, request)
+            )
+            return
+        hop = ONE_WAY_SECONDS if endpoint.place != self.place else 0.0
+        self._trial.clock.after(
+            hop, lambda: self._submit(name, endpoint, request, hop)
+        )
+
+    def _send_anew(self, name: str, request: workload.Request) -> None:
+        self._in_flight[name] -= 1
+        self.send(request)
+
+    def _submit(
+        self,
+        name: str,
+        endpoint: _Endpoint,
+        request: workload.Request,
+        hop: float,
+    ) -> None:
+        def note_first() -> None:
+            self._progress_at[name] = self._trial.clock.now
+            self._trial.note_first(request, hop)
+
+        def note_done() -> None:
+            self._progress_at[name] = self._trial.clock.now
+            self._in_flight[name] -= 1
+
+        endpoint.engine.submit(
+            engine_model.Job(request, note_first, note_done)
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class _Case:
+    """What a trial is about.
+
+    :param lag: the time between load reports, in seconds.
+    """
+
+    shape: workload.Shape
+    entries: int
+    lag: float
+    fault: str
+
+
+class _Trial:
+    """One run of one way."""
+
+    def __init__(
+        self, case: _Case, maker: routing_ways.Maker, seed: int
+    ) -> None:
+        self.clock = simulation.Simulation()
+        self.lag = case.lag
+        self._case = case
+        self._fault = case.fault
+        shape = case.shape
+        rng = random.Random(seed)
+        rate = UTILISATION * engine_model.find_capacity(
+            shape, ENGINE, shape.engines
+        )
+        self._requests = workload.generate(shape, rate, RUN_SECONDS, rng)
+        self.endpoints = {
+            f"engine-{index}": _Endpoint(
+                engine_model.Engine(f"engine-{index}", self.clock, ENGINE),
+                index % shape.data_centres,
+            )
+            for index in range(shape.engines)
+        }
+        self.sent = dict.fromkeys(self.endpoints, 0)
+        self._first_at: dict[int, float] = {}
+        self._entries = [
+            _Entry(
+                self,
+                index % shape.data_centres,
+                rng.random() * case.lag,
+                maker(rng),
+            )
+            for index in range(case.entries)
+        ]
+        self._rng = rng
+
+    def is_cut(self, one: int, other: int) -> bool:
+        """Return whether two data centres can't reach each other."""
+        return (
+            self._fault == "cut"
+            and self.clock.now >= FAULT_AT_SECONDS
+            and one != other
+            and 1 in (one, other)
+        )
+
+    def note_first(self, request: workload.Request, hop: float) -> None:
+        """Note a request's first token."""
+        self._first_at.setdefault(request.number, self.clock.now + hop)
+
+    def run(self) -> None:
+        """Run all requests to their end."""
+        for request in self._requests:
+            self.clock.at(
+                request.arrives_at,
+                lambda request=request: self._receive(request),  # type: ignore
+            )
+        self.clock.at(FAULT_AT_SECONDS, self._begin_fault)
+        self.clock.run(RUN_SECONDS + 60.0)
+
+    def _receive(self, request: workload.Request) -> None:
+        open_entries = self._entries
+        if self._fault == "cut" and self.clock.now >= FAULT_AT_SECONDS:
+            open_entries = [e for e in self._entries if e.place != 1]
+        self._rng.choice(open_entries).send(request)
+
+    def _begin_fault(self) -> None:
+        engine = self.endpoints["engine-0"].engine
+        if self._fault == "slow":
+            engine.slowness = SLOWNESS
+        elif self._fault == "frozen":
+            engine.is_frozen = True
+
+    def measure(self) -> numpy.ndarray:
+        """Return the run's measures, in the order of the row's fields."""
+        waits = []
+        lost = 0
+        for request in self._requests:
+            first = self._first_at.get(request.number, request.deadline)
+            lost += first >= request.deadline
+            waits.append(min(first, request.deadline) - request.arrives_at)
+        p50, p95, p99 = numpy.percentile(waits, (50, 95, 99))
+        engines = [e.engine for e in self.endpoints.values()]
+        served = sum(engine.served for engine in engines)
+        total = sum(self.sent.values())
+        return numpy.array(
+            [
+                p50,
+                p95,
+                p99,
+                sum(engine.hits for engine in engines) / served,
+                max(self.sent.values()) / total * len(engines),
+                lost / len(waits),
+            ]
+        )
+
+
+def _measure_way(
+    name: str, maker: routing_ways.Maker, case: _Case, seed: int
+) -> RoutingRow:
+    measured = []
+    for repetition in range(REPETITIONS):
+        trial = _Trial(case, maker, seed * REPETITIONS + repetition)
+        trial.run()
+        measured.append(trial.measure())
+    means = [float(value) for value in numpy.mean(measured, axis=0)]
+    return RoutingRow(
+        name,
+        case.shape.name,
+        str(case.entries),
+        f"{case.lag:g}",
+        case.fault,
+        *means,
+    )
+
+
+def _list_cases() -> collections.abc.Iterator[_Case]:
+    for shape in workload.SHAPES:
+        for lag in LAGS:
+            for fault in FAULTS:
+                yield _Case(shape, FEW_ENTRIES, lag, fault)
+            yield _Case(shape, MANY_ENTRIES, lag, "none")
+
+
+class RoutingExperiment(base.Experiment):
+    """Every way at every lag and fault, in both shapes."""
+
+    @property
+    def name(self) -> str:
+        return "routing"
+
+    @property
+    def charts(self) -> tuple[base.Chart, ...]:
+        return tuple(
+            base.Chart(
+                measure,
+                "fault",
+                "way",
+                unit,
+                measure != "hits",
+                (
+                    ("shape", shape.name),
+                    ("lag", "1"),
+                    ("entries", str(FEW_ENTRIES)),
+                ),
+            )
+            for shape in workload.SHAPES
+            for measure, unit in (("p99", "s"), ("hits", "share"))
+        )
+
+    def run(self, seed: int) -> collections.abc.Sequence[base.Row]:
+        return [
+            _measure_way(name, maker, case, seed)
+            for case in _list_cases()
+            for name, maker in routing_ways.list_ways().items()
+        ]
--- /dev/null
+++ b/experiments/routing_ways.py
@@ -0,0 +1,131 @@
+"""The ways to choose an endpoint that are set beside each other."""
+
+import abc
+import collections.abc
+import itertools
+import random
+
+from wagtailstream_core import routing
+
+
+class Way(abc.ABC):
+    """Chooses an endpoint for one entry.
+
+    :param rng: draws choices.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+
+    @abc.abstractmethod
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[routing.Candidate],
+        prefix_hash: int,
+    ) -> str:
+        """Return the chosen endpoint's name.
+
+        :param candidates: at least one.
+        :param prefix_hash: the hash of the prompt's prefix.
+        """
+
+
+class RoundRobin(Way):
+    """Naive: one after the other."""
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._turn = itertools.count(rng.randrange(100))
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[routing.Candidate],
+        prefix_hash: int,
+    ) -> str:
+        return candidates[next(self._turn) % len(candidates)].endpoint
+
+
+class LeastReported(Way):
+    """Naive: the least reported load of all."""
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[routing.Candidate],
+        prefix_hash: int,
+    ) -> str:
+        least = min(c.reported for c in candidates)
+        best = [c for c in candidates if c.reported == least]
+        return self._rng.choice(best).endpoint
+
+
+class HomeOnly(Way):
+    """Naive: always the endpoint that the prefix prefers."""
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[routing.Candidate],
+        prefix_hash: int,
+    ) -> str:
+        return routing.find_home(prefix_hash, (c.endpoint for c in candidates))
+
+
+class Weighted(Way):
+    """The core's way, with some weights.
+
+    :param rng: draws choices.
+    :param weights: the weights.
+    """
+
+    def __init__(self, rng: random.Random, weights: routing.Weights) -> None:
+        super().__init__(rng)
+        self._weights = weights
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[routing.Candidate],
+        prefix_hash: int,
+    ) -> str:
+        chosen = routing.choose_endpoint(
+            candidates, prefix_hash, self._rng, self._weights
+        )
+        return chosen or candidates[0].endpoint
+
+
+class LargerOfTwo(Way):
+    """Power of two over the larger of reported load and own in flight.
+
+    :param rng: draws choices.
+    """
+
+    def choose(
+        self,
+        candidates: collections.abc.Sequence[routing.Candidate],
+        prefix_hash: int,
+    ) -> str:
+        home = routing.find_home(prefix_hash, (c.endpoint for c in candidates))
+        drawn = self._rng.sample(candidates, min(2, len(candidates)))
+        drawn += [c for c in candidates if c.endpoint == home]
+        return min(drawn, key=lambda c: self._score(c, home)).endpoint
+
+    def _score(self, candidate: routing.Candidate, home: str) -> float:
+        load = max(candidate.reported, candidate.in_flight)
+        bonus = 0.25 if candidate.endpoint == home else 0.0
+        return load / candidate.slots - bonus
+
+
+Maker = collections.abc.Callable[[random.Random], Way]
+
+
+def list_ways() -> dict[str, Maker]:
+    """Return the makers of all ways by name."""
+    return {
+        "round-robin": RoundRobin,
+        "least-reported": LeastReported,
+        "home-only": HomeOnly,
+        "larger-of-two": LargerOfTwo,
+        "no-affinity": lambda rng: Weighted(
+            rng, routing.Weights(affinity=0.0)
+        ),
+        "all-compared": lambda rng: Weighted(rng, routing.Weights(choices=99)),
+        "chosen": lambda rng: Weighted(rng, routing.Weights()),
+    }
--- a/packages/wagtailstream-core/wagtailstream_core/routing.py
+++ b/packages/wagtailstream-core/wagtailstream_core/routing.py
@@ -1,7 +1,8 @@
 """Chooses the endpoint for an attempt.
 
-Power of two choices over the reported load plus the entry's own requests in
-flight, with a bonus for a warm prompt prefix and a malus for distance.
+Power of two choices over an estimate of the load: what others had there as
+of the last report, plus the entry's own requests in flight now. A warm prompt
+prefix earns a bonus that load can outvote; distance costs a little.
 """
 
 import collections.abc
@@ -11,9 +12,25 @@
 import xxhash
 
 PREFIX_CHARACTERS = 256
-AFFINITY_BONUS = 0.25
-DISTANCE_PENALTY = 0.05
-SUSPECT_PENALTY = 4.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Weights:
+    """How much each circumstance counts, in shares of an endpoint's slots.
+
+    :param affinity: the bonus of the endpoint that the prefix prefers.
+    :param distance: the cost of another data centre.
+    :param suspect: the cost of an endpoint that may be failing.
+    :param choices: how many endpoints are drawn to be compared.
+    """
+
+    affinity: float = 0.25
+    distance: float = 0.05
+    suspect: float = 4.0
+    choices: int = 2
+
+
+DEFAULT_WEIGHTS = Weights()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -21,18 +38,22 @@
     """An endpoint that could take the attempt.
 
     :param reported: requests running and queued, as last reported.
-    :param in_flight: this entry's own requests sent since.
+    :param in_flight: this entry's own requests there now.
+    :param in_flight_at_report: this entry's own when the report was made.
     :param slots: how many requests it runs at once.
     :param is_near: whether it stands in the entry's data centre.
-    :param is_suspect: whether its heartbeats are late.
+    :param is_suspect: whether its heartbeats or answers are late.
+    :param is_draining: whether it takes no new work.
     """
 
     endpoint: str
     reported: int
     in_flight: int
+    in_flight_at_report: int
     slots: int
     is_near: bool = True
     is_suspect: bool = False
+    is_draining: bool = False
 
 
 def hash_prefix(prompt: str) -> int:
@@ -57,20 +78,35 @@
     )
 
 
-def score(candidate: Candidate, home: str) -> float:
+def estimate_load(candidate: Candidate) -> int:
+    """Return the requests that a candidate probably holds now.
+
+    The report counts this entry's own requests as of its time; they are
+    replaced by those in flight now, so that a burst is felt before the next
+    report and a finished one is not counted on.
+
+    :param candidate: the candidate.
+    """
+    others = max(0, candidate.reported - candidate.in_flight_at_report)
+    return others + candidate.in_flight
+
+
+def score(
+    candidate: Candidate, home: str, weights: Weights = DEFAULT_WEIGHTS
+) -> float:
     """Return the cost of sending an attempt to a candidate; less is better.
 
     :param candidate: the candidate.
     :param home: the endpoint that the prefix prefers.
+    :param weights: how much each circumstance counts.
     """
-    load = max(candidate.reported, candidate.in_flight)
-    cost = load / max(candidate.slots, 1)
+    cost = estimate_load(candidate) / max(candidate.slots, 1)
     if candidate.endpoint == home:
-        cost -= AFFINITY_BONUS
+        cost -= weights.affinity
     if not candidate.is_near:
-        cost += DISTANCE_PENALTY
+        cost += weights.distance
     if candidate.is_suspect:
-        cost += SUSPECT_PENALTY
+        cost += weights.suspect
     return cost
 
 
@@ -78,16 +114,29 @@
     candidates: collections.abc.Sequence[Candidate],
     prefix_hash: int,
     rng: random.Random,
+    weights: Weights = DEFAULT_WEIGHTS,
 ) -> str | None:
     """Return the endpoint for an attempt, or None without candidates.
 
     :param candidates: the endpoints that could take it.
     :param prefix_hash: the hash of the prompt's prefix.
-    :param rng: draws the two choices.
+    :param rng: draws the choices.
+    :param weights: how much each circumstance counts.
     """
-    if not candidates:
+    usable = [c for c in candidates if not c.is_draining]
+    if not usable:
         return None
-    home = find_home(prefix_hash, (c.endpoint for c in candidates))
-    drawn = list(rng.sample(candidates, min(2, len(candidates))))
-    drawn += [c for c in candidates if c.endpoint == home]
-    return min(drawn, key=lambda c: score(c, home)).endpoint
+    home = find_home(prefix_hash, (c.endpoint for c in usable))
+    drawn = _draw(usable, rng, weights.choices)
+    drawn += [c for c in usable if c.endpoint == home]
+    return min(drawn, key=lambda c: score(c, home, weights)).endpoint
+
+
+def _draw(
+    usable: collections.abc.Sequence[Candidate],
+    rng: random.Random,
+    choices: int,
+) -> list[Candidate]:
+    """Draw the endpoints to compare, from the healthy ones if there are."""
+    healthy = [c for c in usable if not c.is_suspect] or list(usable)
+    return rng.sample(healthy, min(choices, len(healthy)))
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -224,9 +224,11 @@
             state.endpoint,
             state.running + state.queued,
             link.in_flight,
+            state.own_in_flight,
             state.slots,
             state.data_centre == self._data_centre,
             link.is_suspect,
+            state.is_draining,
         )
 
     async def _attempt(self, job: "_Job", link: links.AgentLink) -> Outcome:
@@ -276,6 +278,7 @@
         ended: work.Ended | None = None
         while True:
             answer = await run.next_answer()
+            link.note_progress()
             match answer:
                 case work.Accepted():
                     await self._note_accepted(job, link, answer)
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -25,6 +25,10 @@
 MAX_RUNS_PER_CONNECTION = 80
 REDIAL_SECONDS = 0.25
 SUSPECT_SECONDS = 3.0
+STALL_SECONDS = 2.0
+# Heartbeats that may be missed before an endpoint is suspect.
+LATE_HEARTBEATS = 2.0
+HEARTBEAT_SLACK_SECONDS = 0.1
 FORGET_SECONDS = 30.0
 
 _LOGGER = logging.getLogger(__name__)
@@ -34,6 +38,7 @@
 class AgentState:
     """An agent's state as of its last heartbeat.
 
+    :param own_in_flight: this entry's attempts under way there at that time.
     :param heard_at: monotonic seconds.
     """
 
@@ -46,6 +51,7 @@
     queued: int
     slots: int
     loaded: frozenset[configuration.ModelVersion]
+    own_in_flight: int
     heard_at: float
 
 
@@ -64,6 +70,7 @@
         self._state: AgentState | None = None
         self._is_listed_leaving = False
         self._failed_at = -SUSPECT_SECONDS
+        self._progress_at = 0.0
         self._keeper = asyncio.ensure_future(self._keep_connected())
 
     @property
@@ -93,12 +100,16 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether the agent failed or was silent lately."""
+        """Whether the agent failed, is late or sends no answers on."""
         now = self._table.clock.monotonic()
         heard_at = self._state.heard_at if self._state else 0.0
+        is_stalled = (
+            self.in_flight > 0 and now - self._progress_at > STALL_SECONDS
+        )
         return (
-            now - self._failed_at < SUSPECT_SECONDS
-            or now - heard_at > SUSPECT_SECONDS
+            is_stalled
+            or now - self._failed_at < SUSPECT_SECONDS
+            or now - heard_at > self._table.late_seconds
         )
 
     def set_listed_leaving(self, is_leaving: bool) -> None:
@@ -112,6 +123,10 @@
         """Note that an attempt failed at the agent."""
         self._failed_at = self._table.clock.monotonic()
 
+    def note_progress(self) -> None:
+        """Note that the agent sent a part of an answer."""
+        self._progress_at = self._table.clock.monotonic()
+
     def note_draining(self) -> None:
         """Note that the agent refused since it is draining."""
         if self._state is not None:
@@ -123,6 +138,8 @@
         :param attempt: the attempt.
         :raises errors.PeerError: it could not be sent.
         """
+        if self.in_flight == 0:
+            self.note_progress()
         return await self._pick_connection().open_run(attempt)
 
     def pick_any(self) -> connection.Connection:
@@ -176,6 +193,7 @@
                 configuration.ModelVersion(v.model, v.version)
                 for v in message.loaded
             ),
+            self.in_flight,
             self._table.clock.monotonic(),
         )
         self._table.take_heartbeat(self, source, message)
@@ -263,6 +281,13 @@
         """Tells the time."""
         return self._clock
 
+    @property
+    def late_seconds(self) -> float:
+        """How long an agent may be silent before it is suspect."""
+        return (
+            LATE_HEARTBEATS * self._heartbeat_seconds + HEARTBEAT_SLACK_SECONDS
+        )
+
     def dial(self, address: str) -> connection.Connection:
         """Return a new connection to an agent.
 
