--- /dev/null
+++ b/experiments/overload.py
@@ -0,0 +1,485 @@
+"""Overload: one endpoint's queue, brokers and buyers, callers that retry.
+
+Brokers ask for a fixed fifth of the capacity; buyers make up the rest of the
+load, half of it from one customer. A caller that is refused comes back three
+times, when it is told to or after a second; one that gets no answer in time
+hangs up and asks once more.
+"""
+
+import abc
+import collections
+import collections.abc
+import dataclasses
+import random
+
+import numpy
+
+from experiments import base, simulation
+from wagtailstream_core import admission
+
+SLOTS = 8
+QUEUE = 64
+SERVICE_SECONDS = 1.0
+RUN_SECONDS = 240.0
+BROKER_SHARE = 0.2
+BROKER_PRIORITY = 5
+BROKER_PATIENCE_SECONDS = 5.0
+BUYER_PATIENCE_SECONDS = 10.0
+BUYERS = 8
+LARGE_BUYER_SHARE = 0.5
+MAX_REFUSED_TRIES = 3
+NAIVE_BACKOFF_SECONDS = 1.0
+LOADS = (0.5, 1.0, 2.0, 5.0)
+
+
+@dataclasses.dataclass(frozen=True)
+class OverloadRow(base.Row):
+    """How an endpoint's queue bears a load.
+
+    :param load: of first tries, in parts of the capacity.
+    :param goodput: work done in time, in parts of the capacity.
+    :param wasted: work done for answers that came too late.
+    :param broker_success: the share of brokers' requests done in time.
+    :param broker_wait_p99: of those done, from the first try, in seconds.
+    :param light_success: the same share of the seven small buyers.
+    :param heavy_success: the same share of the large buyer.
+    :param fairness: Jain's index of what buyers got of their fair shares.
+    :param given_up_seconds: the mean time until a refused try knows it.
+    :param tries: tries for each request.
+    """
+
+    load: str
+    goodput: float
+    wasted: float
+    broker_success: float
+    broker_wait_p99: float
+    light_success: float
+    heavy_success: float
+    fairness: float
+    given_up_seconds: float
+    tries: float
+
+
+@dataclasses.dataclass(eq=False)
+class _Try:
+    customer: str
+    priority: int
+    deadline: float
+    service_seconds: float
+    request: "_Request"
+    arrived_at: float
+    is_over: bool = False
+
+
+@dataclasses.dataclass(eq=False)
+class _Request:
+    customer: str
+    priority: int
+    patience: float
+    first_at: float
+    refused: int = 0
+    timed_out: int = 0
+    tries: int = 0
+    done_at: float | None = None
+
+
+class Queue(abc.ABC):
+    """Orders the waiters, and refuses.
+
+    :param rng: for spread.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+
+    @abc.abstractmethod
+    def offer(
+        self, item: _Try, running: int, now: float
+    ) -> tuple[list[_Try], float | None]:
+        """Take in a try; return the refused ones and when to come back.
+
+        :param item: the try.
+        :param running: how many hold slots.
+        :param now: in seconds.
+        """
+
+    @abc.abstractmethod
+    def pop(self) -> _Try | None:
+        """Return the next try to run, or None."""
+
+    @abc.abstractmethod
+    def remove(self, item: _Try) -> None:
+        """Drop a try that gave up."""
+
+    @abc.abstractmethod
+    def note_service(self, seconds: float) -> None:
+        """Note how long a slot was held."""
+
+    def find_give_up_at(self, item: _Try) -> float:
+        """Return until when a try is kept waiting."""
+        return item.deadline
+
+
+class Fifo(Queue):
+    """Naive: first come, first served.
+
+    :param rng: unused.
+    :param capacity: how many may wait.
+    """
+
+    def __init__(self, rng: random.Random, capacity: float) -> None:
+        super().__init__(rng)
+        self._capacity = capacity
+        self._items: collections.deque[_Try] = collections.deque()
+
+    def offer(
+        self, item: _Try, running: int, now: float
+    ) -> tuple[list[_Try], float | None]:
+        if len(self._items) >= self._capacity:
+            return [item], None
+        self._items.append(item)
+        return [], None
+
+    def pop(self) -> _Try | None:
+        return self._items.popleft() if self._items else None
+
+    def remove(self, item: _Try) -> None:
+        if item in self._items:
+            self._items.remove(item)
+
+    def note_service(self, seconds: float) -> None:
+        pass
+
+
+class PriorityOnly(Fifo):
+    """Naive: priorities, and whoever finds the queue full is refused."""
+
+    def pop(self) -> _Try | None:
+        if not self._items:
+            return None
+        best = max(self._items, key=lambda item: item.priority)
+        self._items.remove(best)
+        return best
+
+
+class Admission(Queue):
+    """The core's way.
+
+    :param rng: spreads the times to come back.
+    :param is_fair: whether customers take turns.
+    :param has_deadlines: whether what would be late is refused early.
+    """
+
+    def __init__(
+        self,
+        rng: random.Random,
+        is_fair: bool = True,
+        has_deadlines: bool = True,
+    ) -> None:
+        super().__init__(rng)
+        self._is_fair = is_fair
+        self._has_deadlines = has_deadlines
+        self._service = admission.ServiceTime()
+        self._queue = admission.AdmissionQueue(QUEUE)
+        self._items: dict[admission.Place, _Try] = {}
+        self._places: dict[_Try, admission.Place] = {}
+
+    def offer(
+        self, item: _Try, running: int, now: float
+    ) -> tuple[list[_Try], float | None]:
+        customer = item.customer if self._is_fair else "all"
+        place = self._queue.find_place(item.priority, customer)
+        occupancy = admission.Occupancy(
+            SLOTS,
+            running,
+            self._queue.count_ahead(place),
+            self._service.mean or 0.0,
+            self._service.bound,
+        )
+        if self._has_deadlines:
+            late = admission.check_deadline(
+                occupancy, item.deadline, now, self.rng
+            )
+            if late is not None:
+                return [item], late.retry_at
+        place = self._queue.push(item.priority, customer)
+        self._items[place] = item
+        self._places[item] = place
+        excess = self._queue.pop_excess()
+        if excess is None:
+            return [], None
+        evicted = self._items.pop(excess)
+        del self._places[evicted]
+        wait = admission.estimate_wait(occupancy)
+        return [evicted], admission.find_retry_at(wait, now, self.rng)
+
+    def pop(self) -> _Try | None:
+        if not len(self._queue):
+            return None
+        item = self._items.pop(self._queue.pop())
+        del self._places[item]
+        return item
+
+    def remove(self, item: _Try) -> None:
+        place = self._places.pop(item, None)
+        if place is not None:
+            self._queue.remove(place)
+            del self._items[place]
+
+    def find_give_up_at(self, item: _Try) -> float:
+        if not self._has_deadlines:
+            return item.deadline
+        return max(item.arrived_at, item.deadline - self._service.bound)
+
+    def note_service(self, seconds: float) -> None:
+        self._service.note(seconds)
+
+
+class ShareForOldest(Admission):
+    """The core's way, but each tenth slot goes to the oldest waiter.
+
+    :param rng: spreads the times to come back.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        super().__init__(rng)
+        self._popped = 0
+
+    def pop(self) -> _Try | None:
+        self._popped += 1
+        if self._popped % 10 or not self._places:
+            return super().pop()
+        oldest = min(self._places, key=lambda item: item.arrived_at)
+        self.remove(oldest)
+        return oldest
+
+
+WAYS: dict[str, collections.abc.Callable[[random.Random], Queue]] = {
+    "fifo-unbounded": lambda rng: Fifo(rng, float("inf")),
+    "fifo-bounded": lambda rng: Fifo(rng, QUEUE),
+    "priority-only": lambda rng: PriorityOnly(rng, QUEUE),
+    "no-deadlines": lambda rng: Admission(rng, has_deadlines=False),
+    "no-turns": lambda rng: Admission(rng, is_fair=False),
+    "share-for-oldest": ShareForOldest,
+    "chosen": Admission,
+}
+
+
+class _Trial:
+    """One run of one way at one load."""
+
+    def __init__(self, queue: Queue, load: float, seed: int) -> None:
+        self._queue = queue
+        self._load = load
+        self._clock = simulation.Simulation()
+        # Arrivals are drawn apart, so that all ways see the same ones.
+        self._arrivals = random.Random(seed)
+        self._rng = random.Random(seed + 1)
+        self._running = 0
+        self._requests: list[_Request] = []
+        self._work_in_time = 0.0
+        self._work_wasted = 0.0
+        self._refused_after: list[float] = []
+
+    def run(self) -> None:
+        """Run all requests to their end."""
+        capacity = SLOTS / SERVICE_SECONDS
+        self._generate(
+            "broker",
+            BROKER_SHARE * capacity,
+            BROKER_PRIORITY,
+            BROKER_PATIENCE_SECONDS,
+        )
+        rest = (self._load - BROKER_SHARE) * capacity
+        for index in range(BUYERS):
+            share = (
+                LARGE_BUYER_SHARE
+                if index == 0
+                else (1.0 - LARGE_BUYER_SHARE) / (BUYERS - 1)
+            )
+            self._generate(
+                f"buyer-{index}", share * rest, 0, BUYER_PATIENCE_SECONDS
+            )
+        self._clock.run(RUN_SECONDS + 120.0)
+
+    def _generate(
+        self, customer: str, rate: float, priority: int, patience: float
+    ) -> None:
+        now = 0.0
+        while (now := now + self._arrivals.expovariate(rate)) < RUN_SECONDS:
+            request = _Request(customer, priority, patience, now)
+            self._requests.append(request)
+            self._clock.at(
+                now,
+                lambda request=request: self._send(request),  # type: ignore
+            )
+
+    def _send(self, request: _Request) -> None:
+        now = self._clock.now
+        request.tries += 1
+        item = _Try(
+            request.customer,
+            request.priority,
+            now + request.patience,
+            self._rng.expovariate(1.0 / SERVICE_SECONDS),
+            request,
+            now,
+        )
+        refused, retry_at = self._queue.offer(item, self._running, now)
+        for other in refused:
+            self._refuse(other, retry_at)
+        if item not in refused:
+            self._clock.at(
+                self._queue.find_give_up_at(item),
+                lambda: self._drop_waiting(item),
+            )
+            self._clock.at(item.deadline, lambda: self._hang_up(item))
+        self._start_next()
+
+    def _refuse(self, item: _Try, retry_at: float | None) -> None:
+        item.is_over = True
+        now = self._clock.now
+        self._refused_after.append(now - item.arrived_at)
+        request = item.request
+        request.refused += 1
+        if request.refused <= MAX_REFUSED_TRIES:
+            back_at = retry_at or now + NAIVE_BACKOFF_SECONDS
+            self._clock.at(back_at, lambda: self._send(request))
+
+    def _drop_waiting(self, item: _Try) -> None:
+        if item.is_over or self._clock.now >= item.deadline:
+            return
+        item.is_over = True
+        self._queue.remove(item)
+        self._refuse(item, None)
+
+    def _hang_up(self, item: _Try) -> None:
+        if item.is_over:
+            return
+        item.is_over = True
+        self._queue.remove(item)
+        self._refused_after.append(self._clock.now - item.arrived_at)
+        request = item.request
+        request.timed_out += 1
+        if request.timed_out == 1:
+            self._send(request)
+
+    def _start_next(self) -> None:
+        while self._running < SLOTS:
+            item = self._queue.pop()
+            if item is None:
+                return
+            if not item.is_over:
+                self._start(item)
+
+    def _start(self, item: _Try) -> None:
+        """Run a try; a caller that hangs up frees the slot."""
+        # A try in a slot is not dropped as waiting any more.
+        now = self._clock.now
+        end = now + item.service_seconds
+        self._running += 1
+        is_in_time = end <= item.deadline
+        held = min(end, item.deadline) - now
+        item.is_over = True
+        if not is_in_time:
+            self._clock.at(item.deadline, lambda: self._note_late(item))
+        self._clock.after(held, lambda: self._finish(item, held, is_in_time))
+
+    def _note_late(self, item: _Try) -> None:
+        item.is_over = False
+        self._hang_up(item)
+
+    def _finish(self, item: _Try, held: float, is_in_time: bool) -> None:
+        self._running -= 1
+        self._queue.note_service(held)
+        if self._clock.now <= RUN_SECONDS:
+            self._work_in_time += held * is_in_time
+            self._work_wasted += held * (not is_in_time)
+        if is_in_time:
+            item.request.done_at = self._clock.now
+        self._start_next()
+
+    def make_row(self, name: str) -> OverloadRow:
+        """Return the run's measures."""
+        brokers = [r for r in self._requests if r.priority]
+        light = [
+            r
+            for r in self._requests
+            if not r.priority and r.customer != "buyer-0"
+        ]
+        heavy = [r for r in self._requests if r.customer == "buyer-0"]
+        waits = [
+            r.done_at - r.first_at for r in brokers if r.done_at is not None
+        ]
+        whole = SLOTS * RUN_SECONDS
+        return OverloadRow(
+            name,
+            f"{self._load:g}",
+            self._work_in_time / whole,
+            self._work_wasted / whole,
+            _find_success(brokers),
+            float(numpy.percentile(waits, 99)) if waits else 0.0,
+            _find_success(light),
+            _find_success(heavy),
+            self._find_fairness(),
+            float(numpy.mean(self._refused_after or [0.0])),
+            sum(r.tries for r in self._requests) / len(self._requests),
+        )
+
+    def _find_fairness(self) -> float:
+        asked: collections.Counter[str] = collections.Counter()
+        got: collections.Counter[str] = collections.Counter()
+        for request in self._requests:
+            if not request.priority:
+                asked[request.customer] += 1
+                got[request.customer] += request.done_at is not None
+        room = (1.0 - BROKER_SHARE) * SLOTS * RUN_SECONDS / SERVICE_SECONDS
+        fair = find_fair_shares(dict(asked), room)
+        parts = [got[name] / fair[name] for name in asked]
+        squares = sum(part * part for part in parts)
+        return sum(parts) ** 2 / (len(parts) * squares) if squares else 0.0
+
+
+def find_fair_shares(asked: dict[str, int], room: float) -> dict[str, float]:
+    """Return max-min fair shares: small wishes whole, the rest equally.
+
+    :param asked: how much each asks for.
+    :param room: how much there is.
+    """
+    shares: dict[str, float] = {}
+    left = sorted(asked, key=lambda name: asked[name])
+    while left:
+        equal = room / len(left)
+        name = left.pop(0)
+        shares[name] = min(float(asked[name]), equal)
+        room -= shares[name]
+    return shares
+
+
+def _find_success(requests: list[_Request]) -> float:
+    return sum(r.done_at is not None for r in requests) / len(requests)
+
+
+class OverloadExperiment(base.Experiment):
+    """Every way at every load."""
+
+    @property
+    def name(self) -> str:
+        return "overload"
+
+    @property
+    def charts(self) -> tuple[base.Chart, ...]:
+        return (
+            base.Chart("goodput", "load", "way", "capacity"),
+            base.Chart("broker_success", "load", "way", "share"),
+            base.Chart("light_success", "load", "way", "share"),
+        )
+
+    def run(self, seed: int) -> collections.abc.Sequence[base.Row]:
+        rows = []
+        for load in LOADS:
+            for name, make in WAYS.items():
+                trial = _Trial(make(random.Random(seed + 2)), load, seed)
+                trial.run()
+                rows.append(trial.make_row(name))
+        return rows
--- a/experiments/registry.py
+++ b/experiments/registry.py
@@ -1,8 +1,12 @@
 """Every experiment, in the order in which they run."""
 
-from experiments import base, routing
+from experiments import base, limits_split, overload, routing
 
 
 def list_experiments() -> tuple[base.Experiment, ...]:
     """Return all experiments."""
-    return (routing.RoutingExperiment(),)
+    return (
+        routing.RoutingExperiment(),
+        limits_split.LimitsSplitExperiment(),
+        overload.OverloadExperiment(),
+    )
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import logging
+import random
 import signal
 import typing
 
@@ -23,6 +24,7 @@
 from wagtailstream_core import (
     clock,
     configuration,
+    errors,
     wire_codec,
     wire_pb2,
     work,
@@ -68,7 +70,12 @@
             agent_settings.bill_window_seconds,
             self._metrics,
         )
-        self._slots = slots.Slots(agent_settings.slots, agent_settings.queue)
+        self._slots = slots.Slots(
+            agent_settings.slots,
+            agent_settings.queue,
+            self._clock,
+            random.Random(),
+        )
         self._results = results.ResultTable()
         self._loader: loader.Loader | None = None
         self._runner = self._make_runner()
@@ -78,6 +85,7 @@
             self._outbox,
             self._results,
             self._make_heartbeat,
+            self._clock,
         )
         self._is_draining = False
         self._sequence = 0
@@ -99,7 +107,7 @@
 
         :param attempt: the attempt.
         """
-        verdict = gate.check(
+        return gate.check(
             gate.GateState(
                 self._settings.instance,
                 self._settings.endpoint,
@@ -111,11 +119,13 @@
             ),
             attempt,
         )
-        if verdict.is_error():
-            self._metrics.count(
-                metrics.Metric.REFUSED, verdict.error.reason.value
-            )
-        return verdict
+
+    def note_refusal(self, refusal: errors.Refusal) -> None:
+        """Count a refusal by its reason.
+
+        :param refusal: the refusal.
+        """
+        self._metrics.count(metrics.Metric.REFUSED, refusal.reason.value)
 
     def _make_runner(self) -> runner.Runner:
         url = str(self._settings.endpoint_url)
@@ -190,6 +200,16 @@
                 for v in (sorted(state.loaded) if state else ())
             ],
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            service_mean_ms=wire_codec.to_milliseconds(
+                self._slots.service_time.mean or 0.0
+            ),
+            service_bound_ms=wire_codec.to_milliseconds(
+                self._slots.service_time.bound
+            ),
+            queues=[
+                wire_pb2.QueueLength(priority=priority, queued=queued)
+                for priority, queued in self._slots.count_queued().items()
+            ],
         )
 
     def _read_gauges(self) -> reporter.Reading:
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -13,6 +13,8 @@
 
 from wagtailstream_agent import execution, results, runner
 from wagtailstream_core import (
+    clock,
+    demand,
     errors,
     ledger,
     wire_codec,
@@ -48,6 +50,7 @@
     :param outbox: holds bills until they are durable.
     :param result_table: keeps the results of claimed requests.
     :param make_heartbeat: returns this agent's present state.
+    :param system_clock: tells the time.
     """
 
     def __init__(
@@ -57,12 +60,15 @@
         outbox: bill_outbox.BillOutbox,
         result_table: results.ResultTable,
         make_heartbeat: HeartbeatMaker,
+        system_clock: clock.Clock,
     ) -> None:
         self._runner = attempt_runner
         self._follower = config_follower
         self._outbox = outbox
         self._results = result_table
         self._make_heartbeat = make_heartbeat
+        self._clock = system_clock
+        self._demands = demand.DemandBoard(SILENCE_SECONDS)
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
             collections.defaultdict(set)
         )
@@ -157,7 +163,7 @@
                 if message is None:
                     break
                 self._take_heartbeat(message)
-                await stream.send_message(self._make_heartbeat())
+                await stream.send_message(self._answer_heartbeat(message))
         except TimeoutError:
             _LOGGER.info("entry went silent", extra={"peer": link})
         finally:
@@ -168,6 +174,21 @@
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
+        self._demands.put(
+            message.instance,
+            wire_codec.decode_demands(message.demands),
+            self._clock.monotonic(),
+        )
+
+    def _answer_heartbeat(
+        self, message: wire_pb2.Heartbeat
+    ) -> wire_pb2.Heartbeat:
+        answer = self._make_heartbeat()
+        others = self._demands.sum_others(
+            message.instance, self._clock.monotonic()
+        )
+        answer.demands.extend(wire_codec.encode_demands(others))
+        return answer
 
     async def PushConfiguration(  # noqa: N802
         self, stream: PushStream
--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -30,6 +30,17 @@
 LEDGER_RETRY_SECONDS = 2.0
 MAX_KEPT_BODY_BYTES = 16384
 
+_REJECTIONS = {
+    slots.Cause.FULL: (
+        errors.Reason.ENDPOINT_FULL,
+        "the endpoint's queue is full",
+    ),
+    slots.Cause.LATE: (
+        errors.Reason.DEADLINE_UNREACHABLE,
+        "the endpoint can't answer by the deadline",
+    ),
+}
+
 Emit = collections.abc.Callable[
     [work.Accepted | assembly.Chunk | work.Ended],
     collections.abc.Awaitable[None],
@@ -67,6 +78,13 @@
         :param attempt: the attempt.
         """
 
+    @abc.abstractmethod
+    def note_refusal(self, refusal: errors.Refusal) -> None:
+        """Count a refusal by its reason.
+
+        :param refusal: the refusal.
+        """
+
 
 class Meter:
     """What an attempt has used so far; billed if nobody else settles it.
@@ -109,30 +127,38 @@
         :param meter: is kept up to date with the cost.
         :raises AttemptAbortedError: with the refusal to send.
         """
+        try:
+            await self._admit(attempt, emit, meter)
+        except AttemptAbortedError as error:
+            self._keeper.note_refusal(error.refusal)
+            raise
+
+    async def _admit(
+        self, attempt: work.Attempt, emit: Emit, meter: Meter
+    ) -> None:
         self._pass_gate(attempt)
-        if self._slots.is_full:
-            raise self._abort(
-                errors.Reason.ENDPOINT_FULL,
-                "the endpoint's queue is full",
-                gate.FULL_RETRY_SECONDS,
-            )
         await self._acquire(attempt)
+        started_at = self._clock.monotonic()
         try:
             await self._run_in_slot(attempt, emit, meter)
         finally:
-            self._slots.release()
+            self._slots.release(self._clock.monotonic() - started_at)
 
     async def _acquire(self, attempt: work.Attempt) -> None:
-        try:
-            async with asyncio.timeout(
-                max(0.0, attempt.deadline - self._clock.wall())
-            ):
-                await self._slots.acquire(attempt.priority)
-        except TimeoutError as error:
-            raise self._abort(
-                errors.Reason.DEADLINE_PAST,
-                "the deadline passed in the endpoint's queue",
-            ) from error
+        verdict = await self._slots.acquire(
+            slots.Applicant(
+                attempt.customer, attempt.priority, attempt.deadline
+            )
+        )
+        if verdict.is_ok():
+            return
+        rejection = verdict.error
+        reason, message = _REJECTIONS[rejection.cause]
+        raise AttemptAbortedError(
+            errors.not_run(
+                reason, message, "admit", self._keeper.name, rejection.retry_at
+            )
+        )
 
     def _pass_gate(self, attempt: work.Attempt) -> None:
         verdict = self._keeper.check(attempt)
--- a/packages/wagtailstream-agent/wagtailstream_agent/slots.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/slots.py
@@ -1,33 +1,75 @@
-"""Admits attempts to the endpoint's slots, by priority."""
+"""Admits attempts to the endpoint's slots, or refuses them at once."""
 
 import asyncio
+import collections
+import collections.abc
 import dataclasses
-import heapq
-import itertools
+import enum
+import random
 
-SLOT_STEP = "admit"
+import expression
 
+from wagtailstream_core import admission, clock
 
-@dataclasses.dataclass(order=True)
-class _Waiter:
-    rank: int
-    order: int
-    admitted: asyncio.Future[None] = dataclasses.field(compare=False)
+
+class Cause(enum.Enum):
+    """Why an attempt gets no slot."""
+
+    FULL = "full"
+    LATE = "late"
+
+
+@dataclasses.dataclass(frozen=True)
+class Rejection:
+    """An attempt that gets no slot.
+
+    :param retry_at: Unix time in seconds from which to come back.
+    """
+
+    cause: Cause
+    retry_at: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Applicant:
+    """An attempt that asks for a slot.
+
+    :param priority: higher goes first.
+    :param deadline: Unix time in seconds, by when its answer is due.
+    """
+
+    customer: str
+    priority: int
+    deadline: float
+
+
+Verdict = expression.Result[None, Rejection]
+_ADMITTED: Verdict = expression.Ok(None)
 
 
 class Slots:
-    """A bounded number of slots with a bounded priority queue.
+    """A bounded number of slots with a bounded queue.
 
     :param count: how many attempts run at once.
     :param queue: how many may wait.
+    :param system_clock: tells the time.
+    :param rng: spreads the times to come back.
     """
 
-    def __init__(self, count: int, queue: int) -> None:
+    def __init__(
+        self,
+        count: int,
+        queue: int,
+        system_clock: clock.Clock,
+        rng: random.Random,
+    ) -> None:
         self._count = count
-        self._queue = queue
+        self._clock = system_clock
+        self._rng = rng
         self._running = 0
-        self._waiters: list[_Waiter] = []
-        self._order = itertools.count()
+        self._service_time = admission.ServiceTime()
+        self._queue = admission.AdmissionQueue(queue)
+        self._waiters: dict[admission.Place, asyncio.Future[Verdict]] = {}
 
     @property
     def count(self) -> int:
@@ -42,12 +84,16 @@
     @property
     def queued(self) -> int:
         """How many attempts wait for a slot."""
-        return sum(not w.admitted.done() for w in self._waiters)
+        return len(self._queue)
 
     @property
-    def is_full(self) -> bool:
-        """Whether a further attempt would find no place in the queue."""
-        return self._running >= self._count and self.queued >= self._queue
+    def service_time(self) -> admission.ServiceTime:
+        """How long attempts hold a slot."""
+        return self._service_time
+
+    def count_queued(self) -> collections.abc.Mapping[int, int]:
+        """Return how many attempts wait, by priority."""
+        return collections.Counter(-place.rank for place in self._waiters)
 
     def resize(self, count: int) -> None:
         """Set how many attempts run at once.
@@ -57,30 +103,90 @@
         self._count = count
         self._admit()
 
-    async def acquire(self, priority: int) -> None:
-        """Wait for a slot; cancelling gives the place up.
+    async def acquire(self, applicant: Applicant) -> Verdict:
+        """Wait for a slot, or return why there is none; cancelling is safe.
 
-        :param priority: higher goes first.
+        Whoever is let in calls :meth:`release` in the end.
+
+        :param applicant: who asks.
         """
-        future = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(-priority, next(self._order), future)
-        heapq.heappush(self._waiters, waiter)
+        occupancy = self._find_occupancy(applicant)
+        now = self._clock.wall()
+        late = admission.check_deadline(
+            occupancy, applicant.deadline, now, self._rng
+        )
+        if late is not None:
+            return expression.Error(Rejection(Cause.LATE, late.retry_at))
+        place = self._queue.push(applicant.priority, applicant.customer)
+        future: asyncio.Future[Verdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiters[place] = future
         self._admit()
+        self._evict(occupancy, now)
+        return await self._wait(place, future, applicant.deadline - now)
+
+    def _find_occupancy(self, applicant: Applicant) -> admission.Occupancy:
+        place = self._queue.find_place(applicant.priority, applicant.customer)
+        return admission.Occupancy(
+            self._count,
+            self._running,
+            self._queue.count_ahead(place),
+            self._service_time.mean or 0.0,
+            self._service_time.bound,
+        )
+
+    def _evict(self, occupancy: admission.Occupancy, now: float) -> None:
+        place = self._queue.pop_excess()
+        if place is None:
+            return
+        retry_at = admission.find_retry_at(
+            admission.estimate_wait(occupancy), now, self._rng
+        )
+        self._waiters.pop(place).set_result(
+            expression.Error(Rejection(Cause.FULL, retry_at))
+        )
+
+    async def _wait(
+        self,
+        place: admission.Place,
+        future: "asyncio.Future[Verdict]",
+        seconds: float,
+    ) -> Verdict:
+        limit = max(0.0, seconds - self._service_time.bound)
         try:
-            await future
+            await asyncio.wait([future], timeout=limit)
         except asyncio.CancelledError:
-            if future.done() and not future.cancelled():
-                self.release()
+            if future.done() and future.result().is_ok():
+                self._free()
+            self._give_up(place)
             raise
+        if future.done():
+            return future.result()
+        self._give_up(place)
+        retry_at = admission.find_retry_at(
+            self._service_time.bound, self._clock.wall(), self._rng
+        )
+        return expression.Error(Rejection(Cause.LATE, retry_at))
+
+    def _give_up(self, place: admission.Place) -> None:
+        self._queue.remove(place)
+        self._waiters.pop(place, None)
+
+    def release(self, held_seconds: float) -> None:
+        """Give a slot back.
+
+        :param held_seconds: how long it was held.
+        """
+        self._service_time.note(held_seconds)
+        self._free()
 
-    def release(self) -> None:
-        """Give a slot back."""
+    def _free(self) -> None:
         self._running -= 1
         self._admit()
 
     def _admit(self) -> None:
-        while self._waiters and self._running < self._count:
-            waiter = heapq.heappop(self._waiters)
-            if not waiter.admitted.done():
-                self._running += 1
-                waiter.admitted.set_result(None)
+        while len(self._queue) and self._running < self._count:
+            future = self._waiters.pop(self._queue.pop())
+            self._running += 1
+            future.set_result(_ADMITTED)
--- a/packages/wagtailstream-core/wagtailstream_core/errors.py
+++ b/packages/wagtailstream-core/wagtailstream_core/errors.py
@@ -23,6 +23,7 @@
     CLAIM_LOST = "claim-lost"
     CUT_OFF = "cut-off"
     DEADLINE_PAST = "deadline-past"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
     DRAINING = "draining"
     ENDPOINT_FAILED = "endpoint-failed"
     ENDPOINT_FULL = "endpoint-full"
--- a/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
@@ -6,6 +6,7 @@
     assembly,
     billing,
     configuration,
+    demand,
     errors,
     freshness,
     wire_pb2,
@@ -323,6 +324,34 @@
     ]
 
 
+def encode_demands(
+    demands: collections.abc.Iterable[demand.CustomerDemand],
+) -> list[wire_pb2.CustomerDemand]:
+    """Return customers' demands for a heartbeat.
+
+    :param demands: one a customer.
+    """
+    return [
+        wire_pb2.CustomerDemand(
+            customer=item.customer, requests_per_second=item.rate
+        )
+        for item in demands
+    ]
+
+
+def decode_demands(
+    demands: collections.abc.Iterable[wire_pb2.CustomerDemand],
+) -> list[demand.CustomerDemand]:
+    """Return customers' demands from a heartbeat.
+
+    :param demands: one a customer.
+    """
+    return [
+        demand.CustomerDemand(item.customer, item.requests_per_second)
+        for item in demands
+    ]
+
+
 def encode_records(
     log_records: collections.abc.Iterable[configuration.LogRecord],
 ) -> wire_pb2.ConfigurationRecords:
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -96,6 +96,9 @@
         self._settle = settle.Settle(
             self._outbox, self._clock, entry_settings.instance
         )
+        self._limiter = limit.LimitCustomer(
+            self._table, self._clock, entry_settings.instance
+        )
         self._open_requests: set[str] = set()
         self._is_draining = False
         self._sequence = 0
@@ -110,6 +113,7 @@
             configuration_offset=self._follower.state.offset,
             draining=self._is_draining,
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            demands=wire_codec.encode_demands(self._limiter.list_demands()),
         )
 
     def _make_rater(self) -> rating.Rater:
@@ -120,9 +124,6 @@
         session_keys = self._settings.session_keys.load_session_keys()
         peer = self._settings.instance
         front = self._make_front()
-        limiter = limit.LimitCustomer(
-            lambda: self._table.entry_count, self._clock, peer
-        )
         chat = pipeline.Pipeline(
             [
                 *front,
@@ -130,7 +131,7 @@
                 resume_session.ResumeSession(
                     session_keys, lambda: str(uuid_utils.uuid7().hex), peer
                 ),
-                limiter,
+                self._limiter,
                 run_model.RunModel(
                     self._dispatcher,
                     self._follower,
@@ -145,7 +146,7 @@
             [
                 *front,
                 run_service.CheckOperation(peer),
-                limiter,
+                self._limiter,
                 run_service.RunService(
                     self._dispatcher, self._follower, self._clock, peer
                 ),
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -1,23 +1,28 @@
 """Sends attempts to endpoints, resumes and retries them."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
 
 import expression
 
 from wagtailstream_core import (
+    admission,
     assembly,
-    bundle,
     clock,
-    configuration,
     errors,
     limits,
     routing,
     work,
 )
-from wagtailstream_entry import connection, exchange, links
+from wagtailstream_entry import (
+    agent_state,
+    connection,
+    exchange,
+    job,
+    links,
+    target,
+)
 from wagtailstream_platform import metrics
 
 STEP = "dispatch"
@@ -33,6 +38,7 @@
         errors.Reason.BILLING_FULL,
         errors.Reason.CLAIM_ABANDONED,
         errors.Reason.CUT_OFF,
+        errors.Reason.DEADLINE_UNREACHABLE,
         errors.Reason.DRAINING,
         errors.Reason.ENDPOINT_FAILED,
         errors.Reason.ENDPOINT_FULL,
@@ -55,7 +61,6 @@
 
 
 Outcome = expression.Result[Completed, errors.Refusal]
-WorkMaker = collections.abc.Callable[[int], work.ModelWork | work.ServiceWork]
 
 
 class RetryBudget:
@@ -130,50 +135,50 @@
     async def run(
         self,
         request: exchange.Exchange,
-        target: "Target",
-        make_work: WorkMaker,
+        work_target: target.Target,
+        make_work: job.WorkMaker,
         sink: exchange.AnswerSink,
     ) -> Outcome:
         """Run a piece of work and return its end or its refusal.
 
         :param request: the request.
-        :param target: where the work may run.
+        :param work_target: where the work may run.
         :param make_work: returns the work from a position on.
         :param sink: takes the answer.
         """
-        job = _Job(request, target, make_work, sink)
-        self._budget.note_request(job.customer)
+        item = job.Job(request, work_target, make_work, sink)
+        self._budget.note_request(item.customer)
         while True:
-            outcome = await self._try_once(job)
+            outcome = await self._try_once(item)
             if outcome.is_ok():
                 return outcome
-            if not self._may_retry(job, outcome.error):
-                return expression.Error(job.finish_refusal(outcome.error))
+            if not self._may_retry(item, outcome.error):
+                return expression.Error(item.finish_refusal(outcome.error))
             self._metrics.count(
                 metrics.Metric.RETRIED, outcome.error.reason.value
             )
 
-    def _may_retry(self, job: "_Job", refusal: errors.Refusal) -> bool:
-        if refusal.reason not in RETRIABLE or refusal is job.exhausted:
+    def _may_retry(self, item: job.Job, refusal: errors.Refusal) -> bool:
+        if refusal.reason not in RETRIABLE or refusal is item.exhausted:
             return False
-        if job.attempts >= MAX_ATTEMPTS:
+        if item.attempts >= MAX_ATTEMPTS:
             return False
-        if self._clock.wall() >= job.request.deadline:
+        if self._clock.wall() >= item.request.deadline:
             return False
-        return self._budget.take(job.customer)
+        return self._budget.take(item.customer)
 
-    async def _try_once(self, job: "_Job") -> Outcome:
-        link = self._choose(job)
+    async def _try_once(self, item: job.Job) -> Outcome:
+        link = self._choose(item)
         if link is None:
-            job.exhausted = job.last_refusal or self._refuse_none()
-            return expression.Error(job.exhausted)
-        job.attempts += 1
+            item.exhausted = item.last_refusal or self._refuse_unsent(item)
+            return expression.Error(item.exhausted)
+        item.attempts += 1
         try:
-            outcome = await self._attempt(job, link)
+            outcome = await self._attempt(item, link)
         except errors.PeerError as error:
             outcome = expression.Error(self._describe_failure(link, error))
         if outcome.is_error():
-            await self._note_refused(job, link, outcome.error)
+            await self._note_refused(item, link, outcome.error)
         return outcome
 
     def _describe_failure(
@@ -189,7 +194,15 @@
             self._clock.wall() + RETRY_SECONDS,
         )
 
-    def _refuse_none(self) -> errors.Refusal:
+    def _refuse_unsent(self, item: job.Job) -> errors.Refusal:
+        if item.late is not None:
+            return errors.not_run(
+                errors.Reason.DEADLINE_UNREACHABLE,
+                "no endpoint can answer by the deadline",
+                STEP,
+                self._peer,
+                item.late.retry_at,
+            )
         return errors.not_run(
             errors.Reason.NO_ENDPOINT,
             "no endpoint can take the request now",
@@ -198,14 +211,15 @@
             self._clock.wall() + RETRY_SECONDS,
         )
 
-    def _choose(self, job: "_Job") -> links.AgentLink | None:
+    def _choose(self, item: job.Job) -> links.AgentLink | None:
         by_endpoint = {
             link.state.endpoint: link
             for link in self._table.list_links()
             if link.state is not None
-            and link.address not in job.tried
+            and link.address not in item.tried
             and link.is_usable
-            and job.target.admits(link.state)
+            and item.target.admits(link.state)
+            and self._is_in_time(item, link.state)
         }
         candidates = [
             self._make_candidate(link, link.state)
@@ -213,12 +227,26 @@
             if link.state is not None
         ]
         chosen = routing.choose_endpoint(
-            candidates, job.target.prefix_hash, self._rng
+            candidates, item.target.prefix_hash, self._rng
         )
         return by_endpoint[chosen] if chosen is not None else None
 
+    def _is_in_time(
+        self, item: job.Job, state: agent_state.AgentState
+    ) -> bool:
+        """Return whether an endpoint can probably answer by the deadline."""
+        late = admission.check_deadline(
+            target.make_occupancy(state, item.priority),
+            item.request.deadline,
+            self._clock.wall(),
+            self._rng,
+        )
+        if late is not None:
+            item.note_late(late)
+        return late is None
+
     def _make_candidate(
-        self, link: links.AgentLink, state: links.AgentState
+        self, link: links.AgentLink, state: agent_state.AgentState
     ) -> routing.Candidate:
         return routing.Candidate(
             state.endpoint,
@@ -231,28 +259,28 @@
             state.is_draining,
         )
 
-    async def _attempt(self, job: "_Job", link: links.AgentLink) -> Outcome:
-        request = job.request
+    async def _attempt(self, item: job.Job, link: links.AgentLink) -> Outcome:
+        request = item.request
         number = request.next_attempt()
-        position = job.assembler.start_attempt(number)
+        position = item.assembler.start_attempt(number)
         if position:
             self._metrics.count(metrics.Metric.RESUMED)
         attempt = work.Attempt(
             request.request_id,
             number,
-            job.customer,
+            item.customer,
             self._table.follower.state.offset,
             request.deadline,
-            request.customer.priority if request.customer else 0,
-            job.make_work(position),
+            item.priority,
+            item.make_work(position),
         )
-        job.unresolved += 1
+        item.unresolved += 1
         run = await link.open_run(attempt)
         try:
             async with asyncio.timeout(
                 max(0.0, request.deadline - self._clock.wall())
             ):
-                outcome = await self._receive(job, link, run)
+                outcome = await self._receive(item, link, run)
         except TimeoutError:
             await run.close()
             return expression.Error(self._refuse_late())
@@ -273,7 +301,7 @@
         )
 
     async def _receive(
-        self, job: "_Job", link: links.AgentLink, run: connection.Run
+        self, item: job.Job, link: links.AgentLink, run: connection.Run
     ) -> Outcome:
         ended: work.Ended | None = None
         while True:
@@ -281,26 +309,26 @@
             link.note_progress()
             match answer:
                 case work.Accepted():
-                    await self._note_accepted(job, link, answer)
+                    await self._note_accepted(item, link, answer)
                 case assembly.Chunk():
-                    await job.write(job.assembler.add(answer), self._clock)
+                    await item.write(item.assembler.add(answer), self._clock)
                 case work.Ended():
                     ended = answer
-                    job.finish(answer)
+                    item.finish(answer)
                 case work.Refused():
                     self._catch_up(link, answer.configuration_offset)
                     return expression.Error(answer.refusal)
-            if ended is not None and job.assembler.is_complete:
+            if ended is not None and item.assembler.is_complete:
                 endpoint = link.state.endpoint if link.state else ""
                 return expression.Ok(Completed(ended, run, endpoint))
 
     async def _note_accepted(
-        self, job: "_Job", link: links.AgentLink, accepted: work.Accepted
+        self, item: job.Job, link: links.AgentLink, accepted: work.Accepted
     ) -> None:
         self._catch_up(link, accepted.configuration_offset)
         if link.state is not None:
-            job.request.origin = dataclasses.replace(
-                job.request.origin, endpoint=link.state.endpoint
+            item.request.origin = dataclasses.replace(
+                item.request.origin, endpoint=link.state.endpoint
             )
 
     def _catch_up(self, link: links.AgentLink, offset: int) -> None:
@@ -308,11 +336,11 @@
             self._table.spawn(link.pull_configuration())
 
     async def _note_refused(
-        self, job: "_Job", link: links.AgentLink, refusal: errors.Refusal
+        self, item: job.Job, link: links.AgentLink, refusal: errors.Refusal
     ) -> None:
-        job.last_refusal = refusal
+        item.last_refusal = refusal
         if refusal.outcome is errors.Outcome.NOT_RUN:
-            job.unresolved -= 1
+            item.unresolved -= 1
         match refusal.reason:
             case errors.Reason.AGENT_BEHIND:
                 if await link.push_configuration():
@@ -321,134 +349,4 @@
                 link.note_draining()
             case errors.Reason.ENDPOINT_FAILED:
                 link.note_failure()
-        job.tried.add(link.address)
-
-
-@dataclasses.dataclass(frozen=True)
-class Target:
-    """Where a piece of work may run.
-
-    :param endpoints: the names of the endpoints that the bundle allows.
-    :param version: the version that must be loaded; None for a service.
-    """
-
-    endpoints: frozenset[str]
-    version: configuration.ModelVersion | None
-    prefix_hash: int
-
-    def admits(self, state: links.AgentState) -> bool:
-        """Return whether an agent's endpoint may take the work.
-
-        :param state: the agent's state.
-        """
-        if state.endpoint not in self.endpoints:
-            return False
-        return self.version is None or self.version in state.loaded
-
-
-def find_model_endpoints(
-    known: bundle.Bundle, allowance: bundle.Allowance
-) -> frozenset[str]:
-    """Return the endpoints on which a customer may use a model.
-
-    :param known: the bundle in force.
-    :param allowance: the customer's allowance for the model.
-    """
-    return frozenset(
-        endpoint.name
-        for endpoint in known.endpoints
-        if allowance.model in endpoint.models
-        and (
-            not allowance.data_centres
-            or endpoint.data_centre in allowance.data_centres
-        )
-    )
-
-
-def find_service_endpoints(
-    known: bundle.Bundle, service: str
-) -> frozenset[str]:
-    """Return the endpoints of a plain service.
-
-    :param known: the bundle in force.
-    :param service: the service's name.
-    """
-    return frozenset(
-        endpoint.name
-        for endpoint in known.endpoints
-        if endpoint.service == service
-    )
-
-
-class _Job:
-    """The state of one piece of work over its attempts."""
-
-    def __init__(
-        self,
-        request: exchange.Exchange,
-        target: Target,
-        make_work: WorkMaker,
-        sink: exchange.AnswerSink,
-    ) -> None:
-        self.request = request
-        self.target = target
-        self.make_work = make_work
-        self.assembler = assembly.Assembler(request.request_id)
-        self.tried: set[str] = set()
-        self.attempts = 0
-        # Attempts of which it is not known that they did not run.
-        self.unresolved = 0
-        self.last_refusal: errors.Refusal | None = None
-        self.exhausted: errors.Refusal | None = None
-        self._sink = sink
-        self._has_started = False
-
-    @property
-    def has_started(self) -> bool:
-        """Whether a piece of the answer was passed on."""
-        return self._has_started
-
-    @property
-    def customer(self) -> str:
-        """The customer's name."""
-        return self.request.customer.name if self.request.customer else ""
-
-    def finish_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
-        """Return the final refusal: never "not run" if an attempt may have.
-
-        :param refusal: the last attempt's refusal.
-        """
-        if self.unresolved == 0:
-            return refusal
-        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
-
-    async def write(
-        self, pieces: collections.abc.Sequence[bytes], now: clock.Clock
-    ) -> None:
-        """Pass pieces on to the sink.
-
-        :param pieces: in order, each once.
-        :param now: tells when the first came.
-        """
-        if pieces and not self._has_started:
-            self._has_started = True
-            self.request.first_token_at = now.wall()
-            await self._sink.start(self.request)
-        for piece in pieces:
-            await self._sink.write(piece)
-
-    def finish(self, ended: work.Ended) -> None:
-        """Take in the end mark.
-
-        :param ended: the end mark.
-        """
-        self.request.status = ended.status
-        self.request.costs.append(ended.cost)
-        self.assembler.finish(
-            assembly.EndMark(
-                self.request.request_id,
-                ended.cost.attempt,
-                ended.count,
-                ended.digest,
-            )
-        )
+        item.tried.add(link.address)
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/job.py
@@ -0,0 +1,103 @@
+"""One piece of work over all its attempts."""
+
+import collections.abc
+import dataclasses
+
+from wagtailstream_core import admission, assembly, clock, errors, work
+from wagtailstream_entry import exchange, target
+
+WorkMaker = collections.abc.Callable[[int], work.ModelWork | work.ServiceWork]
+
+
+class Job:
+    """The state of one piece of work over its attempts.
+
+    :param request: the request that it is done for.
+    :param work_target: where it may run.
+    :param make_work: returns the work from a position on.
+    :param sink: takes the answer.
+    """
+
+    def __init__(
+        self,
+        request: exchange.Exchange,
+        work_target: target.Target,
+        make_work: WorkMaker,
+        sink: exchange.AnswerSink,
+    ) -> None:
+        self.request = request
+        self.target = work_target
+        self.make_work = make_work
+        self.assembler = assembly.Assembler(request.request_id)
+        self.tried: set[str] = set()
+        self.attempts = 0
+        # Attempts of which it is not known that they did not run.
+        self.unresolved = 0
+        self.last_refusal: errors.Refusal | None = None
+        self.exhausted: errors.Refusal | None = None
+        self.late: admission.Late | None = None
+        self._sink = sink
+        self._has_started = False
+
+    @property
+    def has_started(self) -> bool:
+        """Whether a piece of the answer was passed on."""
+        return self._has_started
+
+    @property
+    def customer(self) -> str:
+        """The customer's name."""
+        return self.request.customer.name if self.request.customer else ""
+
+    @property
+    def priority(self) -> int:
+        """The customer's priority."""
+        return self.request.customer.priority if self.request.customer else 0
+
+    def note_late(self, late: admission.Late) -> None:
+        """Note an endpoint that can't answer in time; keep the soonest.
+
+        :param late: when to come back to it.
+        """
+        if self.late is None or late.retry_at < self.late.retry_at:
+            self.late = late
+
+    def finish_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
+        """Return the final refusal: never "not run" if an attempt may have.
+
+        :param refusal: the last attempt's refusal.
+        """
+        if self.unresolved == 0:
+            return refusal
+        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
+
+    async def write(
+        self, pieces: collections.abc.Sequence[bytes], now: clock.Clock
+    ) -> None:
+        """Pass pieces on to the sink.
+
+        :param pieces: in order, each once.
+        :param now: tells when the first came.
+        """
+        if pieces and not self._has_started:
+            self._has_started = True
+            self.request.first_token_at = now.wall()
+            await self._sink.start(self.request)
+        for piece in pieces:
+            await self._sink.write(piece)
+
+    def finish(self, ended: work.Ended) -> None:
+        """Take in the end mark.
+
+        :param ended: the end mark.
+        """
+        self.request.status = ended.status
+        self.request.costs.append(ended.cost)
+        self.assembler.finish(
+            assembly.EndMark(
+                self.request.request_id,
+                ended.cost.attempt,
+                ended.count,
+                ended.digest,
+            )
+        )
--- a/packages/wagtailstream-entry/wagtailstream_entry/limit.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/limit.py
@@ -1,33 +1,58 @@
 """Keeps customers within their share of requests."""
 
-import collections.abc
+import abc
 
 import expression
 
-from wagtailstream_core import bundle, clock, errors, limits
+from wagtailstream_core import bundle, clock, demand, errors, limits
 from wagtailstream_entry import exchange, pipeline
 
 STEP = "limit"
+MIN_REPORTED_RATE = 0.05
+
+
+class Peers(abc.ABC):
+    """What an entry knows of the other live entries."""
+
+    @property
+    @abc.abstractmethod
+    def entry_count(self) -> int:
+        """How many live entries there are, this one included."""
+
+    @abc.abstractmethod
+    def find_others_rate(self, customer: str) -> float | None:
+        """Return what a customer asks of all others, or None if unheard.
+
+        :param customer: the customer's name.
+        """
 
 
 class LimitCustomer(pipeline.Filter):
     """Refuses what exceeds the customer's share at this entry.
 
-    :param count_entries: how many entries share the customers' limits.
+    :param peers: the other entries that share the customers' limits.
     :param system_clock: tells the time.
     :param peer: this instance's name, for refusals.
     """
 
     def __init__(
-        self,
-        count_entries: collections.abc.Callable[[], int],
-        system_clock: clock.Clock,
-        peer: str,
+        self, peers: Peers, system_clock: clock.Clock, peer: str
     ) -> None:
-        self._count_entries = count_entries
+        self._peers = peers
         self._clock = system_clock
         self._peer = peer
         self._buckets: dict[str, limits.TokenBucket] = {}
+        self._meters: dict[str, limits.DemandMeter] = {}
+
+    def list_demands(self) -> list[demand.CustomerDemand]:
+        """Return what customers ask of this entry now, refused or not."""
+        now = self._clock.monotonic()
+        rates = {name: m.read(now) for name, m in self._meters.items()}
+        return [
+            demand.CustomerDemand(name, rate)
+            for name, rate in rates.items()
+            if rate >= MIN_REPORTED_RATE
+        ]
 
     async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
         """Take a token from the customer's bucket, or refuse.
@@ -54,14 +79,24 @@
     def _find_bucket(
         self, customer: bundle.Customer, now: float
     ) -> limits.TokenBucket:
-        entries = max(1, self._count_entries())
-        rate = customer.requests_per_second / entries
-        capacity = max(1.0, customer.burst / entries)
+        share = self._find_share(customer.name, now)
         bucket = self._buckets.get(customer.name)
         if bucket is None:
-            bucket = limits.TokenBucket(rate, capacity, capacity, now)
+            full = max(1.0, customer.burst * share)
+            bucket = limits.TokenBucket(1.0, full, full, now)
             self._buckets[customer.name] = bucket
-        bucket.refill(now)
-        bucket.rate = rate
-        bucket.capacity = capacity
+        limits.adjust_bucket(
+            bucket, customer.requests_per_second, customer.burst, share, now
+        )
         return bucket
+
+    def _find_share(self, customer: str, now: float) -> float:
+        meter = self._meters.setdefault(customer, limits.DemandMeter(0.0, now))
+        meter.note(now)
+        return limits.find_share(
+            limits.Demand(
+                meter.read(now),
+                self._peers.find_others_rate(customer),
+                self._peers.entry_count,
+            )
+        )
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -13,13 +13,12 @@
 
 from wagtailstream_core import (
     clock,
-    configuration,
     errors,
     wire_codec,
     wire_pb2,
     work,
 )
-from wagtailstream_entry import connection
+from wagtailstream_entry import agent_state, connection, limit
 from wagtailstream_platform import auth, follower, instance_list
 
 MAX_RUNS_PER_CONNECTION = 80
@@ -34,27 +33,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True)
-class AgentState:
-    """An agent's state as of its last heartbeat.
-
-    :param own_in_flight: this entry's attempts under way there at that time.
-    :param heard_at: monotonic seconds.
-    """
-
-    instance: str
-    endpoint: str
-    data_centre: str
-    configuration_offset: int
-    is_draining: bool
-    running: int
-    queued: int
-    slots: int
-    loaded: frozenset[configuration.ModelVersion]
-    own_in_flight: int
-    heard_at: float
-
-
 class AgentLink:
     """All that this entry holds of one agent.
 
@@ -67,7 +45,7 @@
         self._table = table
         self._connections: list[connection.Connection] = []
         self._watches: set[asyncio.Task[None]] = set()
-        self._state: AgentState | None = None
+        self._state: agent_state.AgentState | None = None
         self._is_listed_leaving = False
         self._failed_at = -SUSPECT_SECONDS
         self._progress_at = 0.0
@@ -79,7 +57,7 @@
         return self._address
 
     @property
-    def state(self) -> AgentState | None:
+    def state(self) -> agent_state.AgentState | None:
         """The agent's state as last heard; None before the first time."""
         return self._state
 
@@ -180,21 +158,8 @@
     def _take_heartbeat(
         self, source: connection.Connection, message: wire_pb2.Heartbeat
     ) -> None:
-        self._state = AgentState(
-            message.instance,
-            message.endpoint,
-            message.data_centre,
-            message.configuration_offset,
-            message.draining,
-            message.running,
-            message.queued,
-            message.slots,
-            frozenset(
-                configuration.ModelVersion(v.model, v.version)
-                for v in message.loaded
-            ),
-            self.in_flight,
-            self._table.clock.monotonic(),
+        self._state = agent_state.decode_state(
+            message, self.in_flight, self._table.clock.monotonic()
         )
         self._table.take_heartbeat(self, source, message)
 
@@ -234,8 +199,8 @@
             dialled.close()
 
 
-class LinkTable:
-    """The links to all agents.
+class LinkTable(limit.Peers):
+    """The links to all agents, and what they tell of other entries.
 
     :param instances: the platform's list.
     :param config_follower: holds the configuration in force.
@@ -316,6 +281,21 @@
         """How many live entries the platform lists."""
         return self._entry_count
 
+    def find_others_rate(self, customer: str) -> float | None:
+        """Return what a customer asks of all others, or None if unheard.
+
+        Agents may hear from different entries; the largest sum counts.
+
+        :param customer: the customer's name.
+        """
+        oldest = self._clock.monotonic() - connection.SILENCE_SECONDS
+        rates = [
+            link.state.others_rates.get(customer, 0.0)
+            for link in self._links.values()
+            if link.state is not None and link.state.heard_at >= oldest
+        ]
+        return max(rates, default=None)
+
     def list_links(self) -> collections.abc.Collection[AgentLink]:
         """Return all links."""
         return self._links.values()
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
@@ -11,7 +11,13 @@
     versions,
     work,
 )
-from wagtailstream_entry import dispatch, exchange, pipeline, rating
+from wagtailstream_entry import (
+    dispatch,
+    exchange,
+    pipeline,
+    rating,
+    target,
+)
 from wagtailstream_platform import follower, metrics
 
 STEP = "plan"
@@ -178,8 +184,8 @@
         if state.bundle is None or allowance is None:
             return expression.Error(self._refuse_unknown(request))
         request.origin = exchange.Origin(name, version)
-        target = dispatch.Target(
-            dispatch.find_model_endpoints(state.bundle, allowance),
+        work_target = target.Target(
+            target.find_model_endpoints(state.bundle, allowance),
             configuration.ModelVersion(name, version),
             routing.hash_prefix(request.prompt),
         )
@@ -189,7 +195,9 @@
                 name, version, request.prompt, request.max_tokens, position
             )
 
-        return await self._dispatcher.run(request, target, make_work, sink)
+        return await self._dispatcher.run(
+            request, work_target, make_work, sink
+        )
 
 
 class _StartGuard(exchange.AnswerSink):
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
@@ -14,7 +14,13 @@
     wire_pb2,
     work,
 )
-from wagtailstream_entry import connection, dispatch, exchange, pipeline
+from wagtailstream_entry import (
+    connection,
+    dispatch,
+    exchange,
+    pipeline,
+    target,
+)
 from wagtailstream_platform import follower
 
 STEP = "service"
@@ -137,11 +143,11 @@
                     errors.Reason.MALFORMED, "no operation", STEP, self._peer
                 )
             )
-        target = dispatch.Target(
-            dispatch.find_service_endpoints(known, wanted.service), None, 0
+        work_target = target.Target(
+            target.find_service_endpoints(known, wanted.service), None, 0
         )
         outcome = await self._dispatcher.run(
-            request, target, lambda _: wanted, request.sink
+            request, work_target, lambda _: wanted, request.sink
         )
         if outcome.is_ok():
             request.runs.append(outcome.ok.run)
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/target.py
@@ -0,0 +1,80 @@
+"""Where a piece of work may run, and what stands before it there."""
+
+import dataclasses
+
+from wagtailstream_core import admission, bundle, configuration
+from wagtailstream_entry import agent_state
+
+
+@dataclasses.dataclass(frozen=True)
+class Target:
+    """Where a piece of work may run.
+
+    :param endpoints: the names of the endpoints that the bundle allows.
+    :param version: the version that must be loaded; None for a service.
+    """
+
+    endpoints: frozenset[str]
+    version: configuration.ModelVersion | None
+    prefix_hash: int
+
+    def admits(self, state: agent_state.AgentState) -> bool:
+        """Return whether an agent's endpoint may take the work.
+
+        :param state: the agent's state.
+        """
+        if state.endpoint not in self.endpoints:
+            return False
+        return self.version is None or self.version in state.loaded
+
+
+def make_occupancy(
+    state: agent_state.AgentState, priority: int
+) -> admission.Occupancy:
+    """Return what stands before a request at an endpoint, as reported.
+
+    :param state: the agent's state.
+    :param priority: the request's priority.
+    """
+    ahead = sum(n for rank, n in state.queues.items() if rank >= priority)
+    return admission.Occupancy(
+        state.slots,
+        state.running,
+        ahead,
+        state.service_mean,
+        state.service_bound,
+    )
+
+
+def find_model_endpoints(
+    known: bundle.Bundle, allowance: bundle.Allowance
+) -> frozenset[str]:
+    """Return the endpoints on which a customer may use a model.
+
+    :param known: the bundle in force.
+    :param allowance: the customer's allowance for the model.
+    """
+    return frozenset(
+        endpoint.name
+        for endpoint in known.endpoints
+        if allowance.model in endpoint.models
+        and (
+            not allowance.data_centres
+            or endpoint.data_centre in allowance.data_centres
+        )
+    )
+
+
+def find_service_endpoints(
+    known: bundle.Bundle, service: str
+) -> frozenset[str]:
+    """Return the endpoints of a plain service.
+
+    :param known: the bundle in force.
+    :param service: the service's name.
+    """
+    return frozenset(
+        endpoint.name
+        for endpoint in known.endpoints
+        if endpoint.service == service
+    )
--- /dev/null
+++ b/tests/core/test_limits.py
@@ -0,0 +1,92 @@
+"""Customers' limits and their split among entries."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies as st
+
+from wagtailstream_core import demand, limits
+
+
+def test_bucket_refills_at_its_rate():
+    bucket = limits.TokenBucket(2.0, 4.0, 1.0, 0.0)
+    assert bucket.take(0.0)
+    assert not bucket.take(0.4)
+    assert bucket.find_wait(0.4) == pytest.approx(0.1)
+    assert bucket.take(0.5)
+
+
+def test_a_smaller_share_takes_tokens_away():
+    bucket = limits.TokenBucket(50.0, 50.0, 50.0, 0.0)
+    limits.adjust_bucket(bucket, 50.0, 50.0, 0.1, 0.0)
+    assert (bucket.rate, bucket.capacity, bucket.tokens) == (5.0, 5.0, 5.0)
+
+
+def test_meter_follows_demand_and_forgets_it():
+    meter = limits.DemandMeter()
+    for number in range(500):
+        meter.note(number * 0.02)
+    assert meter.read(10.0) == pytest.approx(50.0, rel=0.1)
+    assert meter.read(20.0) < 0.1
+
+
+def test_share_follows_demand_not_the_number_of_entries():
+    # An equal split would give a third.
+    share = limits.find_share(limits.Demand(45.0, 5.0, 3))
+    assert share > 0.85
+
+
+def test_unheard_entries_split_equally():
+    assert limits.find_share(limits.Demand(45.0, None, 4)) == 0.25
+    assert limits.find_share(limits.Demand(0.0, 0.0, 4)) == 0.25
+
+
+@hypothesis.given(
+    st.lists(st.floats(0.01, 1e4), min_size=1, max_size=40), st.data()
+)
+def test_shares_add_up_to_the_limit(rates: list[float], data: st.DataObject):
+    total = sum(rates)
+    shares = [
+        limits.find_share(limits.Demand(rate, total - rate, len(rates)))
+        for rate in rates
+    ]
+    assert sum(shares) == pytest.approx(1.0)
+
+
+def test_split_keeps_to_the_limit_and_uses_it():
+    """Unequal traffic, demand heard of late: the naive split uses half."""
+    rng = random.Random(5)
+    meters = [limits.DemandMeter() for _ in range(3)]
+    buckets = [limits.TokenBucket(1.0, 1.0, 1.0, 0.0) for _ in range(3)]
+    heard = [0.0, 0.0, 0.0]
+    admitted, now, heard_at = 0, 0.0, 0.0
+    while now < 60.0:
+        now += rng.expovariate(100.0)
+        if now - heard_at > 1.0:
+            heard = [meter.read(now) for meter in meters]
+            heard_at = now
+        entry = rng.choices(range(3), (0.9, 0.07, 0.03))[0]
+        meters[entry].note(now)
+        share = limits.find_share(
+            limits.Demand(
+                meters[entry].read(now), sum(heard) - heard[entry], 3
+            )
+        )
+        limits.adjust_bucket(buckets[entry], 50.0, 50.0, share, now)
+        admitted += buckets[entry].take(now)
+    assert 0.95 < admitted / (50.0 * 60.0) < 1.05
+
+
+def test_board_sums_all_entries_but_one_while_fresh():
+    board = demand.DemandBoard(5.0)
+    board.put("a", [demand.CustomerDemand("x", 3.0)], 0.0)
+    board.put("b", [demand.CustomerDemand("x", 4.0)], 2.0)
+    board.put("c", [demand.CustomerDemand("y", 1.0)], 2.0)
+    assert board.sum_others("c", 3.0) == [demand.CustomerDemand("x", 7.0)]
+    assert board.sum_others("a", 3.0) == [
+        demand.CustomerDemand("x", 4.0),
+        demand.CustomerDemand("y", 1.0),
+    ]
+    # The entry "a" has gone silent; its part is free for the others.
+    assert board.sum_others("c", 6.0) == [demand.CustomerDemand("x", 4.0)]
