Budget retries as a share of traffic, and hedge generations

Cause: the budget's floor let every customer retry once a second at each entry whatever its traffic, and nothing helped an attempt that got stuck: it was held to its deadline. Calls of services are never hedged. Counters hedged and retry_denied.REASON.

--- a/experiments/registry.py
+++ b/experiments/registry.py
@@ -1,6 +1,6 @@
 """Every experiment, in the order in which they run."""
 
-from experiments import base, limits_split, overload, routing
+from experiments import base, limits_split, overload, retrying, routing
 
 
 def list_experiments() -> tuple[base.Experiment, ...]:
@@ -9,4 +9,5 @@
         routing.RoutingExperiment(),
         limits_split.LimitsSplitExperiment(),
         overload.OverloadExperiment(),
+        retrying.RetryExperiment(),
     )
--- /dev/null
+++ b/experiments/retrying.py
@@ -0,0 +1,418 @@
+"""Retries: extra work and success while endpoints fail, and afterwards.
+
+Six endpoints with slots and queues; one that refuses is suspect for a while.
+In the fault window a share of all attempts fails halfway, or gets stuck, or
+half of the endpoints refuse all work. Callers that are refused come back
+three times.
+"""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+
+import numpy
+
+from experiments import base, retry_ways, simulation
+from wagtailstream_core import retries
+
+ENDPOINTS = 6
+SLOTS = 8
+SERVICE_SECONDS = 1.0
+FIRST_TOKEN_PART = 0.2
+LOAD = 0.7
+PATIENCE_SECONDS = 10.0
+CUSTOMERS = 4
+FAULT_FROM_SECONDS = 60.0
+FAULT_TO_SECONDS = 100.0
+RUN_SECONDS = 240.0
+CALLER_RETRIES = 3
+CALLER_BACKOFF_SECONDS = 1.0
+STUCK_FACTOR = 20.0
+STORM_TRIES = 1.3
+SUSPECT_SECONDS = 3.0
+REPETITIONS = 3
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """What happens in the fault window.
+
+    :param failing: the share of attempts that fail halfway.
+    :param stuck: the share of attempts that take far too long.
+    :param gone: how many endpoints refuse all work.
+    """
+
+    name: str
+    failing: float = 0.0
+    stuck: float = 0.0
+    gone: int = 0
+
+
+FAULTS = (
+    Fault("fail 1 %", failing=0.01),
+    Fault("fail 10 %", failing=0.1),
+    Fault("fail 50 %", failing=0.5),
+    Fault("stuck 1 %", stuck=0.01),
+    Fault("stuck 10 %", stuck=0.1),
+    Fault("half gone", gone=3),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class RetryRow(base.Row):
+    """Means over several seeds; "in" the fault window and "after" it.
+
+    :param success_in: the share of requests done within their patience.
+    :param first_try_in: the same without the callers' own retries.
+    :param p99_in: time to first token of those done, in seconds.
+    :param attempts_in: attempts for each request.
+    :param extra_work: work of attempts that were for nothing, in parts of
+        the useful work.
+    :param storm: the seconds after the fault's end until there are no more
+        than 1.3 attempts a request and no endpoint has a long queue.
+    """
+
+    fault: str
+    success_in: float
+    first_try_in: float
+    p99_in: float
+    attempts_in: float
+    extra_work: float
+    success_after: float
+    storm: float
+
+
+@dataclasses.dataclass(eq=False)
+class _Request:
+    customer: str
+    arrived_at: float
+    caller_tries: int = 0
+    done_at: float | None = None
+    first_wait: float = 0.0
+
+
+@dataclasses.dataclass(eq=False)
+class _Call:
+    """One try of a caller, with all its attempts."""
+
+    request: _Request
+    deadline: float
+    attempts: int = 0
+    open: "list[_Attempt]" = dataclasses.field(default_factory=list)
+    is_over: bool = False
+    has_first: bool = False
+
+
+@dataclasses.dataclass(eq=False)
+class _Attempt:
+    call: _Call
+    endpoint: "_Endpoint"
+    service: float
+    will_fail: bool
+    sent_at: float
+    started_at: float | None = None
+    is_over: bool = False
+
+
+class _Endpoint:
+    """A queue and slots, first come first served."""
+
+    def __init__(self, trial: "_Trial") -> None:
+        self._trial = trial
+        self.running = 0
+        self.failed_at = -SUSPECT_SECONDS
+        self.queue: collections.deque[_Attempt] = collections.deque()
+
+    @property
+    def load(self) -> int:
+        """Attempts running and waiting."""
+        return self.running + len(self.queue)
+
+    def submit(self, attempt: _Attempt) -> None:
+        """Queue an attempt."""
+        self.queue.append(attempt)
+        self.start_next()
+
+    def start_next(self) -> None:
+        """Fill the slots."""
+        while self.queue and self.running < SLOTS:
+            attempt = self.queue.popleft()
+            if not attempt.is_over:
+                self.running += 1
+                self._trial.start(attempt)
+
+    def cancel(self, attempt: _Attempt) -> None:
+        """Stop an attempt and free its slot."""
+        if attempt.started_at is None:
+            if attempt in self.queue:
+                self.queue.remove(attempt)
+            return
+        self.running -= 1
+        self.start_next()
+
+
+class _Trial:
+    """One run of one way."""
+
+    def __init__(self, fault: Fault, way: retry_ways.Way, seed: int) -> None:
+        self.clock = simulation.Simulation()
+        self._fault = fault
+        self._way = way
+        self._arrivals = random.Random(seed)
+        self._rng = random.Random(seed + 1)
+        self._endpoints = [_Endpoint(self) for _ in range(ENDPOINTS)]
+        self._requests: list[_Request] = []
+        self._sent_by_second: collections.Counter[int] = collections.Counter()
+        self._asked_by_second: collections.Counter[int] = collections.Counter()
+        self._long_queue_at = 0.0
+        self._useful = 0.0
+        self._wasted = 0.0
+
+    @property
+    def _is_faulty(self) -> bool:
+        return FAULT_FROM_SECONDS <= self.clock.now < FAULT_TO_SECONDS
+
+    def run(self) -> None:
+        """Run all requests to their end."""
+        rate = LOAD * ENDPOINTS * SLOTS / SERVICE_SECONDS
+        now = 0.0
+        while (now := now + self._arrivals.expovariate(rate)) < RUN_SECONDS:
+            request = _Request(
+                f"customer-{self._arrivals.randrange(CUSTOMERS)}", now
+            )
+            self._requests.append(request)
+            self.clock.at(
+                now,
+                lambda request=request: self._ask(request),  # type: ignore
+            )
+        self.clock.run(RUN_SECONDS + 60.0)
+
+    def _ask(self, request: _Request) -> None:
+        now = self.clock.now
+        request.caller_tries += 1
+        self._asked_by_second[int(now)] += 1
+        call = _Call(request, now + PATIENCE_SECONDS)
+        self._way.note_request(request.customer, now)
+        self.clock.at(call.deadline, lambda: self._hang_up(call))
+        self._send(call)
+
+    def _pick(self, call: _Call) -> _Endpoint:
+        used = [attempt.endpoint for attempt in call.open]
+        free = [e for e in self._endpoints if e not in used]
+        since = self.clock.now - SUSPECT_SECONDS
+        healthy = [e for e in free if e.failed_at <= since]
+        free = healthy if len(healthy) > 1 else free
+        drawn = self._rng.sample(free, 2)
+        return min(drawn, key=lambda endpoint: endpoint.load)
+
+    def _send(self, call: _Call) -> None:
+        if call.is_over:
+            return
+        now = self.clock.now
+        self._sent_by_second[int(now)] += 1
+        call.attempts += 1
+        endpoint = self._pick(call)
+        service = self._rng.expovariate(1.0 / SERVICE_SECONDS)
+        will_fail = False
+        if self._is_faulty:
+            draw = self._rng.random()
+            will_fail = draw < self._fault.failing
+            if draw < self._fault.stuck:
+                service *= STUCK_FACTOR
+        attempt = _Attempt(call, endpoint, service, will_fail, now)
+        call.open.append(attempt)
+        index = self._endpoints.index(endpoint)
+        if self._is_faulty and index < self._fault.gone:
+            self.clock.after(0.01, lambda: self._refuse_work(attempt))
+            return
+        endpoint.submit(attempt)
+        if len(endpoint.queue) > 2 * SLOTS:
+            self._long_queue_at = now
+        self._watch(call, attempt)
+
+    def _refuse_work(self, attempt: _Attempt) -> None:
+        """End an attempt at an endpoint that is gone; it is suspect now."""
+        attempt.endpoint.failed_at = self.clock.now
+        self._fail(attempt)
+
+    def _watch(self, call: _Call, attempt: _Attempt) -> None:
+        timeout = self._way.attempt_timeout
+        if timeout is not None:
+            self.clock.after(timeout, lambda: self._fail(attempt))
+        delay = self._way.find_hedge_delay()
+        if delay is not None and call.attempts == 1:
+            self.clock.after(delay, lambda: self._hedge(call))
+
+    def _hedge(self, call: _Call) -> None:
+        if call.is_over or call.has_first or call.attempts > 1:
+            return
+        if min(e.load for e in self._endpoints) >= SLOTS:
+            return
+        if self._way.may_hedge(call.request.customer, self.clock.now):
+            self._send(call)
+
+    def start(self, attempt: _Attempt) -> None:
+        """Run an attempt that got a slot."""
+        now = self.clock.now
+        attempt.started_at = now
+        if attempt.will_fail:
+            self.clock.after(
+                attempt.service / 2.0, lambda: self._fail(attempt)
+            )
+            return
+        self.clock.after(
+            FIRST_TOKEN_PART * attempt.service,
+            lambda: self._note_first(attempt),
+        )
+        self.clock.after(attempt.service, lambda: self._finish(attempt))
+
+    def _note_first(self, attempt: _Attempt) -> None:
+        call = attempt.call
+        if attempt.is_over or call.has_first:
+            return
+        call.has_first = True
+        now = self.clock.now
+        self._way.note_first(now - attempt.sent_at)
+        call.request.first_wait = now - call.request.arrived_at
+        for other in list(call.open):
+            if other is not attempt:
+                self._end(other)
+
+    def _end(self, attempt: _Attempt, is_useful: bool = False) -> None:
+        if attempt.is_over:
+            return
+        attempt.is_over = True
+        attempt.call.open.remove(attempt)
+        if attempt.started_at is not None:
+            held = self.clock.now - attempt.started_at
+            self._useful += held * is_useful
+            self._wasted += held * (not is_useful)
+        attempt.endpoint.cancel(attempt)
+
+    def _finish(self, attempt: _Attempt) -> None:
+        if attempt.is_over:
+            return
+        self._end(attempt, True)
+        attempt.call.is_over = True
+        attempt.call.request.done_at = self.clock.now
+
+    def _fail(self, attempt: _Attempt) -> None:
+        """End an attempt that failed or timed out; maybe retry."""
+        if attempt.is_over:
+            return
+        call = attempt.call
+        self._end(attempt)
+        if call.is_over or call.open:
+            return
+        call.has_first = False
+        now = self.clock.now
+        delay = self._way.find_delay(
+            call.request.customer, call.attempts, call.deadline, now
+        )
+        if delay is None:
+            self._refuse(call)
+        else:
+            self.clock.after(delay, lambda: self._send(call))
+
+    def _hang_up(self, call: _Call) -> None:
+        if call.is_over:
+            return
+        for attempt in list(call.open):
+            self._end(attempt)
+        self._refuse(call)
+
+    def _refuse(self, call: _Call) -> None:
+        call.is_over = True
+        request = call.request
+        if request.caller_tries <= CALLER_RETRIES:
+            wait = CALLER_BACKOFF_SECONDS * (1.0 + 0.5 * self._rng.random())
+            self.clock.after(wait, lambda: self._ask(request))
+
+    def measure(self) -> numpy.ndarray:
+        """Return the run's measures, in the order of the row's fields."""
+        within = [
+            r
+            for r in self._requests
+            if FAULT_FROM_SECONDS <= r.arrived_at < FAULT_TO_SECONDS
+        ]
+        after = [r for r in self._requests if r.arrived_at > FAULT_TO_SECONDS]
+        done = [r for r in within if is_in_time(r)]
+        window = range(int(FAULT_FROM_SECONDS), int(FAULT_TO_SECONDS))
+        sent = sum(self._sent_by_second[second] for second in window)
+        asked = sum(self._asked_by_second[second] for second in window)
+        waits = [r.first_wait for r in done]
+        return numpy.array(
+            [
+                len(done) / len(within),
+                sum(r.caller_tries == 1 for r in done) / len(within),
+                numpy.percentile(waits, 99),
+                sent / asked,
+                self._wasted / self._useful,
+                sum(map(is_in_time, after)) / len(after),
+                self._find_storm_seconds(),
+            ]
+        )
+
+    def _find_storm_seconds(self) -> float:
+        end = int(FAULT_TO_SECONDS)
+        last = self._long_queue_at
+        for second in range(end, int(RUN_SECONDS) - 5):
+            sent = sum(self._sent_by_second[second + i] for i in range(5))
+            asked = sum(self._asked_by_second[second + i] for i in range(5))
+            if sent > STORM_TRIES * asked:
+                last = max(last, second + 5.0)
+        return max(0.0, last - end)
+
+
+def is_in_time(request: _Request) -> bool:
+    """Return whether a request was done within its first patience."""
+    if request.done_at is None:
+        return False
+    return request.done_at - request.arrived_at <= PATIENCE_SECONDS
+
+
+def _make_ways(rng: random.Random) -> dict[str, retry_ways.Way]:
+    return {
+        "never": retry_ways.Never(rng),
+        "always-3": retry_ways.Always(rng),
+        "backoff-3": retry_ways.Backoff(rng),
+        "budget-10": retry_ways.Budgeted(rng, 0.1),
+        "budget-20": retry_ways.Budgeted(rng, retries.RETRY_SHARE),
+        "chosen": retry_ways.Hedged(rng),
+    }
+
+
+def _measure_way(name: str, fault: Fault, seed: int) -> RetryRow:
+    measured = []
+    for repetition in range(REPETITIONS):
+        chosen = seed * REPETITIONS + repetition
+        way = _make_ways(random.Random(chosen))[name]
+        trial = _Trial(fault, way, chosen)
+        trial.run()
+        measured.append(trial.measure())
+    means = [float(value) for value in numpy.mean(measured, axis=0)]
+    return RetryRow(name, fault.name, *means)
+
+
+class RetryExperiment(base.Experiment):
+    """Every way in every fault."""
+
+    @property
+    def name(self) -> str:
+        return "retries"
+
+    @property
+    def charts(self) -> tuple[base.Chart, ...]:
+        return (
+            base.Chart("success_in", "fault", "way", "share"),
+            base.Chart("attempts_in", "fault", "way", "attempts"),
+            base.Chart("storm", "fault", "way", "s"),
+        )
+
+    def run(self, seed: int) -> collections.abc.Sequence[base.Row]:
+        return [
+            _measure_way(name, fault, seed)
+            for fault in FAULTS
+            for name in _make_ways(random.Random(seed))
+        ]
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -11,14 +11,16 @@
     assembly,
     clock,
     errors,
-    limits,
+    retries,
     routing,
+    wire_codec,
     work,
 )
 from wagtailstream_entry import (
     agent_state,
     connection,
     exchange,
+    hedge,
     job,
     links,
     target,
@@ -26,26 +28,7 @@
 from wagtailstream_platform import metrics
 
 STEP = "dispatch"
-MAX_ATTEMPTS = 5
 RETRY_SECONDS = 2.0
-RETRY_SHARE = 0.2
-RETRY_BURST = 20.0
-RETRY_RATE_FLOOR = 1.0
-
-RETRIABLE = frozenset(
-    {
-        errors.Reason.AGENT_BEHIND,
-        errors.Reason.BILLING_FULL,
-        errors.Reason.CLAIM_ABANDONED,
-        errors.Reason.CUT_OFF,
-        errors.Reason.DEADLINE_UNREACHABLE,
-        errors.Reason.DRAINING,
-        errors.Reason.ENDPOINT_FAILED,
-        errors.Reason.ENDPOINT_FULL,
-        errors.Reason.NO_CONFIGURATION,
-        errors.Reason.NOT_LOADED,
-    }
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,42 +44,7 @@
 
 
 Outcome = expression.Result[Completed, errors.Refusal]
-
-
-class RetryBudget:
-    """Bounds retries to a share of each customer's traffic.
-
-    :param system_clock: tells the time.
-    """
-
-    def __init__(self, system_clock: clock.Clock) -> None:
-        self._clock = system_clock
-        self._buckets: dict[str, limits.TokenBucket] = {}
-
-    def note_request(self, customer: str) -> None:
-        """Add a request's share to its customer's budget.
-
-        :param customer: the customer's name.
-        """
-        bucket = self._find(customer)
-        bucket.tokens = min(bucket.capacity, bucket.tokens + RETRY_SHARE)
-
-    def take(self, customer: str) -> bool:
-        """Take a retry from a customer's budget, if there is one.
-
-        :param customer: the customer's name.
-        """
-        return self._find(customer).take(self._clock.monotonic())
-
-    def _find(self, customer: str) -> limits.TokenBucket:
-        if customer not in self._buckets:
-            self._buckets[customer] = limits.TokenBucket(
-                RETRY_RATE_FLOOR,
-                RETRY_BURST,
-                RETRY_BURST,
-                self._clock.monotonic(),
-            )
-        return self._buckets[customer]
+Answer = wire_codec.Answer
 
 
 class Dispatcher:
@@ -125,7 +73,8 @@
         self._rng = rng
         self._metrics = counters
         self._peer = peer
-        self._budget = RetryBudget(system_clock)
+        self._budget = retries.Budget(retries.RETRY_SHARE)
+        self._hedger = hedge.Hedger(system_clock)
 
     @property
     def table(self) -> links.LinkTable:
@@ -147,7 +96,8 @@
         :param sink: takes the answer.
         """
         item = job.Job(request, work_target, make_work, sink)
-        self._budget.note_request(item.customer)
+        self._budget.note_request(item.customer, self._clock.monotonic())
+        self._hedger.note_request(item)
         while True:
             outcome = await self._try_once(item)
             if outcome.is_ok():
@@ -159,27 +109,28 @@
             )
 
     def _may_retry(self, item: job.Job, refusal: errors.Refusal) -> bool:
-        if refusal.reason not in RETRIABLE or refusal is item.exhausted:
+        failed = retries.Failed(refusal, item.attempts, item.request.deadline)
+        if refusal is item.exhausted or not retries.is_worth_retrying(
+            failed, self._clock.wall()
+        ):
             return False
-        if item.attempts >= MAX_ATTEMPTS:
-            return False
-        if self._clock.wall() >= item.request.deadline:
-            return False
-        return self._budget.take(item.customer)
+        if self._budget.take(item.customer, self._clock.monotonic()):
+            return True
+        self._metrics.count(metrics.Metric.RETRY_DENIED, refusal.reason.value)
+        return False
 
     async def _try_once(self, item: job.Job) -> Outcome:
         link = self._choose(item)
         if link is None:
             item.exhausted = item.last_refusal or self._refuse_unsent(item)
             return expression.Error(item.exhausted)
-        item.attempts += 1
         try:
-            outcome = await self._attempt(item, link)
+            leg = await self._open(item, link)
         except errors.PeerError as error:
-            outcome = expression.Error(self._describe_failure(link, error))
-        if outcome.is_error():
-            await self._note_refused(item, link, outcome.error)
-        return outcome
+            refusal = self._describe_failure(link, error)
+            await self._note_refused(item, link, refusal)
+            return expression.Error(refusal)
+        return await self._attempt(item, [leg])
 
     def _describe_failure(
         self, link: links.AgentLink, error: errors.PeerError
@@ -259,12 +210,15 @@
             state.is_draining,
         )
 
-    async def _attempt(self, item: job.Job, link: links.AgentLink) -> Outcome:
+    async def _open(self, item: job.Job, link: links.AgentLink) -> hedge.Leg:
+        """Send an attempt to an agent.
+
+        :raises errors.PeerError: it could not be sent.
+        """
         request = item.request
         number = request.next_attempt()
-        position = item.assembler.start_attempt(number)
-        if position:
-            self._metrics.count(metrics.Metric.RESUMED)
+        item.attempts += 1
+        item.unresolved += 1
         attempt = work.Attempt(
             request.request_id,
             number,
@@ -272,25 +226,107 @@
             self._table.follower.state.offset,
             request.deadline,
             item.priority,
-            item.make_work(position),
+            item.make_work(item.assembler.position),
         )
-        item.unresolved += 1
         run = await link.open_run(attempt)
+        return hedge.Leg(link, run, number, self._clock.monotonic())
+
+    async def _attempt(self, item: job.Job, legs: list[hedge.Leg]) -> Outcome:
+        """Run an attempt that was sent; it may be joined by a hedge."""
+        remaining = item.request.deadline - self._clock.wall()
+        outcome: Outcome = expression.Error(self._refuse_late())
         try:
-            async with asyncio.timeout(
-                max(0.0, request.deadline - self._clock.wall())
-            ):
-                outcome = await self._receive(item, link, run)
+            async with asyncio.timeout(max(0.0, remaining)):
+                outcome = await self._race(item, legs)
         except TimeoutError:
-            await run.close()
-            return expression.Error(self._refuse_late())
-        except BaseException:
-            await run.close()
-            raise
-        if outcome.is_error():
-            await run.close()
+            item.last_refusal = outcome.error
+        finally:
+            kept = outcome.ok.run if outcome.is_ok() else None
+            for leg in legs:
+                if leg.run is not kept:
+                    await leg.run.close()
         return outcome
 
+    async def _race(self, item: job.Job, legs: list[hedge.Leg]) -> Outcome:
+        first = legs[0]
+        delay = self._hedger.find_delay(item)
+        if delay is None:
+            answer = await self._next_piece(item, first)
+            return await self._receive(item, first, first, answer)
+        racing = {self._start_leg(item, first): first}
+        try:
+            await asyncio.wait(racing, timeout=delay)
+            if not any(task.done() for task in racing):
+                await self._add_hedge(item, legs, racing)
+            leg, answer = await self._pick_winner(item, racing)
+        finally:
+            for task in racing:
+                task.cancel()
+        return await self._receive(item, first, leg, answer)
+
+    def _start_leg(
+        self, item: job.Job, leg: hedge.Leg
+    ) -> "asyncio.Task[Answer]":
+        return asyncio.ensure_future(self._next_piece(item, leg))
+
+    async def _add_hedge(
+        self,
+        item: job.Job,
+        legs: list[hedge.Leg],
+        racing: "dict[asyncio.Task[Answer], hedge.Leg]",
+    ) -> None:
+        """Send a second attempt elsewhere if that helps and may be done."""
+        item.tried.add(legs[0].link.address)
+        link = self._choose(item)
+        item.tried.discard(legs[0].link.address)
+        if link is None or link.state is None:
+            return
+        candidate = self._make_candidate(link, link.state)
+        if not self._hedger.may_send(item, candidate):
+            return
+        self._metrics.count(metrics.Metric.HEDGED)
+        try:
+            leg = await self._open(item, link)
+        except errors.PeerError as error:
+            refusal = self._describe_failure(link, error)
+            await self._note_refused(item, link, refusal)
+            return
+        legs.append(leg)
+        racing[self._start_leg(item, leg)] = leg
+
+    async def _pick_winner(
+        self,
+        item: job.Job,
+        racing: "dict[asyncio.Task[Answer], hedge.Leg]",
+    ) -> tuple[hedge.Leg, Answer]:
+        """Return the leg whose piece came first, or the last to fail."""
+        while True:
+            done, _ = await asyncio.wait(
+                racing, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                leg = racing.pop(task)
+                answer = task.result()
+                if not racing or not isinstance(answer, work.Refused):
+                    return leg, answer
+                await self._note_refused(item, leg.link, answer.refusal)
+
+    async def _next_piece(self, item: job.Job, leg: hedge.Leg) -> Answer:
+        """Return the first answer that decides something."""
+        while True:
+            answer = await self._next_answer(leg)
+            if not isinstance(answer, work.Accepted):
+                return answer
+            self._catch_up(leg.link, answer.configuration_offset)
+
+    async def _next_answer(self, leg: hedge.Leg) -> Answer:
+        try:
+            answer = await leg.run.next_answer()
+        except errors.PeerError as error:
+            return work.Refused(self._describe_failure(leg.link, error), -1)
+        leg.link.note_progress()
+        return answer
+
     def _refuse_late(self) -> errors.Refusal:
         return errors.Refusal(
             errors.Reason.DEADLINE_PAST,
@@ -301,34 +337,44 @@
         )
 
     async def _receive(
-        self, item: job.Job, link: links.AgentLink, run: connection.Run
+        self,
+        item: job.Job,
+        first: hedge.Leg,
+        leg: hedge.Leg,
+        answer: Answer,
     ) -> Outcome:
+        """Take in a leg's answer to its end, from its first piece on."""
+        if item.assembler.start_attempt(leg.number):
+            self._metrics.count(metrics.Metric.RESUMED)
+        if isinstance(answer, assembly.Chunk):
+            self._hedger.note_first(item, first)
+        self._note_endpoint(item, leg)
         ended: work.Ended | None = None
-        while True:
-            answer = await run.next_answer()
-            link.note_progress()
-            match answer:
-                case work.Accepted():
-                    await self._note_accepted(item, link, answer)
-                case assembly.Chunk():
-                    await item.write(item.assembler.add(answer), self._clock)
-                case work.Ended():
+        while not isinstance(answer, work.Refused):
+            try:
+                if isinstance(answer, assembly.Chunk):
+                    pieces = item.assembler.add(answer)
+                    await item.write(pieces, self._clock)
+                elif isinstance(answer, work.Ended):
                     ended = answer
                     item.finish(answer)
-                case work.Refused():
-                    self._catch_up(link, answer.configuration_offset)
-                    return expression.Error(answer.refusal)
+            except errors.PeerError as error:
+                failure = self._describe_failure(leg.link, error)
+                answer = work.Refused(failure, -1)
+                break
             if ended is not None and item.assembler.is_complete:
-                endpoint = link.state.endpoint if link.state else ""
-                return expression.Ok(Completed(ended, run, endpoint))
-
-    async def _note_accepted(
-        self, item: job.Job, link: links.AgentLink, accepted: work.Accepted
-    ) -> None:
-        self._catch_up(link, accepted.configuration_offset)
-        if link.state is not None:
+                return expression.Ok(
+                    Completed(ended, leg.run, item.request.origin.endpoint)
+                )
+            answer = await self._next_answer(leg)
+        self._catch_up(leg.link, answer.configuration_offset)
+        await self._note_refused(item, leg.link, answer.refusal)
+        return expression.Error(answer.refusal)
+
+    def _note_endpoint(self, item: job.Job, leg: hedge.Leg) -> None:
+        if leg.link.state is not None:
             item.request.origin = dataclasses.replace(
-                item.request.origin, endpoint=link.state.endpoint
+                item.request.origin, endpoint=leg.link.state.endpoint
             )
 
     def _catch_up(self, link: links.AgentLink, offset: int) -> None:
--- a/packages/wagtailstream-platform/wagtailstream_platform/metrics.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/metrics.py
@@ -18,6 +18,8 @@
     COMPLETED = "completed"
     REFUSED = "refused"
     RETRIED = "retried"
+    RETRY_DENIED = "retry_denied"
+    HEDGED = "hedged"
     ESCALATED = "escalated"
     RESUMED = "resumed"
     RECORDS_ACCEPTED = "configuration.accepted"
--- /dev/null
+++ b/tests/entry/test_dispatch.py
@@ -0,0 +1,268 @@
+"""The dispatcher over fake agents: retries, hedges, early refusals."""
+
+import asyncio
+import dataclasses
+import hashlib
+import random
+import types
+import typing
+
+import pytest
+
+from wagtailstream_core import (
+    assembly,
+    billing,
+    bundle,
+    clock,
+    configuration,
+    errors,
+    retries,
+    work,
+)
+from wagtailstream_entry import (
+    agent_state,
+    connection,
+    dispatch,
+    exchange,
+    target,
+)
+from wagtailstream_platform import metrics
+
+VERSION = configuration.ModelVersion("m", "1")
+TEXT = b"whole"
+SLOTS = 4
+
+
+class FakeRun:
+    """Plays an agent's answers; stays silent after the last."""
+
+    def __init__(self, attempt: work.Attempt, script: str) -> None:
+        self.is_closed = False
+        self._attempt = attempt
+        self._script = list(script)
+
+    async def next_answer(self) -> dispatch.Answer:
+        if not self._script:
+            await asyncio.Event().wait()
+        return self._make(self._script.pop(0))
+
+    def _make(self, letter: str) -> dispatch.Answer:
+        number = self._attempt.number
+        match letter:
+            case "a":
+                return work.Accepted(0)
+            case "c":
+                return assembly.Chunk("r", number, 0, TEXT)
+            case "e":
+                cost = billing.AttemptCost(attempt=number, endpoint="e")
+                digest = hashlib.sha256(TEXT).digest()
+                return work.Ended(1, digest, cost)
+            case "f":
+                refusal = errors.not_run(
+                    errors.Reason.ENDPOINT_FULL, "", "admit", "agent", 9.0
+                )
+                return work.Refused(refusal, 0)
+        raise errors.PeerError("receive", "agent", "cut short")
+
+    async def close(self) -> None:
+        self.is_closed = True
+
+
+class FakeLink:
+    """An agent that answers by scripts, the last one again and again."""
+
+    def __init__(self, name: str, *scripts: str, **state: typing.Any) -> None:
+        self.address = name
+        self.is_usable = True
+        self.is_suspect = False
+        self.in_flight = 0
+        self.runs: list[FakeRun] = []
+        self._scripts = list(scripts)
+        self.state = dataclasses.replace(
+            agent_state.AgentState(
+                instance=name,
+                endpoint=name,
+                data_centre="d",
+                configuration_offset=0,
+                is_draining=False,
+                running=0,
+                queued=0,
+                queues={},
+                slots=SLOTS,
+                service_mean=0.0,
+                service_bound=0.0,
+                others_rates={},
+                loaded=frozenset({VERSION}),
+                own_in_flight=0,
+                heard_at=0.0,
+            ),
+            **state,
+        )
+
+    async def open_run(self, attempt: work.Attempt) -> FakeRun:
+        script = (
+            self._scripts.pop(0)
+            if len(self._scripts) > 1
+            else self._scripts[0]
+        )
+        if script == "unreachable":
+            raise connection.NotSentError("connect", self.address, "refused")
+        self.runs.append(FakeRun(attempt, script))
+        return self.runs[-1]
+
+    def note_progress(self) -> None:
+        pass
+
+    note_failure = note_draining = note_progress
+
+
+class World:
+    """A dispatcher with fake links."""
+
+    def __init__(self, *fakes: FakeLink) -> None:
+        self.counters = metrics.MemoryMetrics()
+        follower = types.SimpleNamespace(state=types.SimpleNamespace(offset=0))
+        table = types.SimpleNamespace(
+            list_links=lambda: fakes, follower=follower
+        )
+        self.dispatcher = dispatch.Dispatcher(
+            typing.cast(typing.Any, table),
+            "d",
+            clock.SystemClock(),
+            random.Random(1),
+            self.counters,
+            "entry",
+        )
+        self.names = frozenset(fake.address for fake in fakes)
+
+    async def run(
+        self, version: configuration.ModelVersion | None = VERSION
+    ) -> tuple[dispatch.Outcome, bytes]:
+        sink = exchange.BufferSink()
+        request = make_request(sink)
+        outcome = await self.dispatcher.run(
+            request,
+            target.Target(self.names, version, 0),
+            lambda position: work.ModelWork("m", "1", "p", 9, position),
+            sink,
+        )
+        return outcome, sink.content
+
+    def learn_first_pieces(self, seconds: float) -> None:
+        """Make the dispatcher know how long a first piece takes."""
+        window = self.dispatcher._hedger._find_window("m")
+        for _ in range(retries.MIN_SAMPLES):
+            window.note(seconds)
+
+
+def make_request(sink: exchange.AnswerSink) -> exchange.Exchange:
+    customer = bundle.Customer(name="c", key_hashes=("0" * 64,))
+    now = clock.SystemClock().wall()
+    return exchange.Exchange(
+        request_id="r",
+        authorization="",
+        session_token="",
+        deadline_text="",
+        idempotency_key="",
+        received_at=now,
+        body=b"",
+        sink=sink,
+        configuration=typing.cast(typing.Any, None),
+        customer=customer,
+        deadline=now + 30.0,
+    )
+
+
+@pytest.mark.parametrize("failure", ["f", "ax", "unreachable"])
+async def test_a_failed_attempt_is_made_elsewhere(failure: str):
+    bad, good = FakeLink("bad", failure, running=0), FakeLink("good", "ace")
+    good.in_flight = 3
+    world = World(bad, good)
+    outcome, content = await world.run()
+    assert outcome.is_ok()
+    assert content == TEXT
+    reason = "endpoint-full" if failure == "f" else "endpoint-failed"
+    assert world.counters.counts[f"retried.{reason}"] == 1
+
+
+async def test_a_budget_bounds_retries_while_all_fails():
+    # Always retrying three times would make 160 attempts.
+    fakes = [FakeLink(name, "ax") for name in "abcd"]
+    world = World(*fakes)
+    for _ in range(40):
+        outcome, _ = await world.run()
+        assert outcome.error.outcome is errors.Outcome.UNKNOWN
+    attempts = sum(len(fake.runs) for fake in fakes)
+    assert attempts <= 40 * (1 + retries.RETRY_SHARE) + retries.BURST + 1
+    assert world.counters.counts["retry_denied.endpoint-failed"] > 20
+
+
+async def test_what_was_never_sent_is_not_run():
+    world = World(FakeLink("a", "unreachable"), FakeLink("b", "f"))
+    outcome, _ = await world.run()
+    assert outcome.error.outcome is errors.Outcome.NOT_RUN
+
+
+async def test_a_hedge_beside_a_stuck_attempt_wins():
+    stuck, free = FakeLink("stuck", "a"), FakeLink("free", "ace")
+    free.in_flight = 3
+    world = World(stuck, free)
+    world.learn_first_pieces(0.01)
+    outcome, content = await world.run()
+    assert outcome.is_ok()
+    assert content == TEXT
+    assert outcome.ok.run is free.runs[0]
+    assert not free.runs[0].is_closed
+    assert stuck.runs[0].is_closed
+    assert world.counters.counts["hedged"] == 1
+    assert "retried.endpoint-failed" not in world.counters.counts
+
+
+async def test_a_hedge_that_fails_leaves_the_first_attempt_be():
+    slow, bad = FakeLink("slow", "a"), FakeLink("bad", "f")
+    bad.in_flight = 3
+    world = World(slow, bad)
+    world.learn_first_pieces(0.01)
+    running = asyncio.ensure_future(world.run())
+    while not bad.runs:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(0.01)
+    assert not running.done()
+    assert not slow.runs[0].is_closed
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    assert slow.runs[0].is_closed
+    assert bad.runs[0].is_closed
+
+
+@pytest.mark.parametrize("why", ["service", "busy", "suspect"])
+async def test_no_hedge(why: str):
+    stuck, other = FakeLink("stuck", "a"), FakeLink("other", "ace")
+    other.in_flight = SLOTS if why == "busy" else 3
+    other.is_suspect = why == "suspect"
+    world = World(stuck, other)
+    world.learn_first_pieces(0.001)
+    running = asyncio.ensure_future(
+        world.run(None if why == "service" else VERSION)
+    )
+    await asyncio.sleep(0.05)
+    assert len(stuck.runs) == 1
+    assert not other.runs
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+
+
+async def test_what_no_endpoint_can_do_in_time_is_not_sent():
+    busy = {
+        "running": SLOTS,
+        "queues": {0: 40},
+        "service_mean": 4.0,
+        "service_bound": 8.0,
+    }
+    fakes = [FakeLink(name, "ace", **busy) for name in "ab"]
+    outcome, _ = await World(*fakes).run()
+    refusal = outcome.error
+    assert refusal.reason is errors.Reason.DEADLINE_UNREACHABLE
+    assert refusal.outcome is errors.Outcome.NOT_RUN
+    assert refusal.retry_at > clock.SystemClock().wall()
+    assert not any(fake.runs for fake in fakes)
