Add a load tool, and measure the path's own cost

python -m standins.load puts open or closed load on an entry or an engine; python -m experiments.path compares both in one run, as ratios.

--- /dev/null
+++ b/experiments/path.py
@@ -0,0 +1,230 @@
+"""The path's own cost: entry and agent beside the engine called directly.
+
+``python -m experiments.path`` starts one entry, one agent and one engine as
+real processes, and puts the same load on the entry and on the engine, in
+turns. What matters is the ratio within one run.
+"""
+
+import contextlib
+import dataclasses
+import hashlib
+import pathlib
+import subprocess
+import sys
+import tempfile
+import typing
+
+import click
+import orjson
+import yaml
+
+from experiments import base, report
+from standins import fleet
+
+KEY = "path-key"
+SLOTS = 256
+QUEUE = 1024
+CALLERS = (1, 32, 256)
+TOKENS = 32
+MIN_REQUESTS = 100
+REQUESTS_PER_CALLER = 8
+MAX_SECONDS = 30.0
+ROUNDS = 2
+
+Json = dict[str, typing.Any]
+
+
+@dataclasses.dataclass(frozen=True)
+class PathRow(base.Row):
+    """Medians over the rounds.
+
+    :param callers: how many call at once, closed loop.
+    :param first_p50: time to first token, in ms.
+    :param rate: tokens a second.
+    :param first_ratio: of the medians, path to engine.
+    :param rate_ratio: of the tokens a second, path to engine.
+    """
+
+    callers: str
+    first_p50: float
+    first_p99: float
+    rate: float
+    failed: int
+    first_ratio: float
+    rate_ratio: float
+
+
+def make_bundle() -> Json:
+    """Return a bundle of one model on one endpoint."""
+    hashed = hashlib.sha256(KEY.encode()).hexdigest()
+    return {
+        "schema_version": 1,
+        "name": "path",
+        "data_centres": ["one"],
+        "models": [{"name": "drafter", "versions": ["1"], "stable": "1"}],
+        "endpoints": [
+            {"name": "engine-1", "data_centre": "one", "models": ["drafter"]}
+        ],
+        "customers": [
+            {
+                "name": "caller",
+                "key_hashes": [hashed],
+                "allow": [{"model": "drafter"}],
+                "requests_per_second": 100000,
+                "burst": 100000,
+            }
+        ],
+    }
+
+
+@contextlib.contextmanager
+def run_fleet(directory: pathlib.Path) -> typing.Iterator[fleet.Fleet]:
+    """Run one entry, one agent and one engine.
+
+    :param directory: where their files go.
+    """
+    path = directory / "bundle.yaml"
+    path.write_text(yaml.safe_dump(make_bundle()))
+    options = fleet.Options(
+        engine=("--slots", str(SLOTS), "--queue", str(QUEUE)),
+        agent={"queue": QUEUE},
+    )
+    started = fleet.Fleet(directory, path, options)
+    try:
+        started.start(1)
+        started.publish()
+        started.wait_ready()
+        yield started
+    finally:
+        started.kill()
+
+
+def put_load(
+    directory: pathlib.Path, callers: int, seed: int, *target: str
+) -> Json:
+    """Run the load tool in a process of its own and return its figures.
+
+    :param directory: where its output goes.
+    :param callers: how many call at once.
+    :param seed: seeds the prompts.
+    :param target: its address, and which kind it is.
+    """
+    out = directory / "load.json"
+    requests = max(MIN_REQUESTS, REQUESTS_PER_CALLER * callers)
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "standins.load",
+            *target,
+            f"--callers={callers}",
+            f"--requests={requests}",
+            f"--seconds={MAX_SECONDS}",
+            f"--tokens={TOKENS}",
+            f"--seed={seed}",
+            f"--json={out}",
+        ],
+        check=True,
+        stdout=subprocess.DEVNULL,
+        timeout=10 * MAX_SECONDS,
+    )
+    value: Json = orjson.loads(out.read_bytes())
+    return value
+
+
+def _middle(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2]
+
+
+def _make_row(
+    way: str, callers: int, measured: list[Json], engine: list[Json]
+) -> PathRow:
+    first = _middle([m["first_token_ms"]["p50"] for m in measured])
+    rate = _middle([m["tokens_per_second"] for m in measured])
+    failed = sum(
+        count
+        for m in measured
+        for name, count in m["outcomes"].items()
+        if name != "completed"
+    )
+    return PathRow(
+        way,
+        str(callers),
+        first,
+        _middle([m["first_token_ms"]["p99"] for m in measured]),
+        rate,
+        failed,
+        first / _middle([m["first_token_ms"]["p50"] for m in engine]),
+        rate / _middle([m["tokens_per_second"] for m in engine]),
+    )
+
+
+def measure(directory: pathlib.Path, seed: int) -> list[PathRow]:
+    """Return the rows of one run.
+
+    :param directory: where files go.
+    :param seed: seeds the prompts.
+    """
+    rows = []
+    with run_fleet(directory) as started:
+        engine_url = started.endpoints["engine-1"].backend.url
+        entry_url = started.entries[0].url
+        put_load(directory, 8, seed, entry_url, f"--key={KEY}")
+        for callers in CALLERS:
+            engine, path = [], []
+            for turn in range(ROUNDS):
+                mixed = 1000 * (seed + turn) + callers
+                engine.append(
+                    put_load(directory, callers, mixed, engine_url, "--engine")
+                )
+                path.append(
+                    put_load(
+                        directory, callers, mixed, entry_url, f"--key={KEY}"
+                    )
+                )
+            rows.append(_make_row("engine", callers, engine, engine))
+            rows.append(_make_row("path", callers, path, engine))
+    return rows
+
+
+class PathExperiment(base.Experiment):
+    """The path beside the engine, in one run."""
+
+    @property
+    def name(self) -> str:
+        return "path"
+
+    @property
+    def command(self) -> str:
+        return "python -m experiments.path"
+
+    @property
+    def charts(self) -> tuple[base.Chart, ...]:
+        return (
+            base.Chart("first_p50", "callers", "way", "ms", True),
+            base.Chart("rate", "callers", "way", "tokens/s", True),
+        )
+
+    def run(self, seed: int) -> list[PathRow]:
+        with tempfile.TemporaryDirectory() as directory:
+            return measure(pathlib.Path(directory), seed)
+
+
+@click.command()
+@click.option("--seed", default=1, show_default=True)
+@click.option(
+    "--out",
+    type=click.Path(path_type=pathlib.Path, file_okay=False),
+    default=pathlib.Path("build/path"),
+    show_default=True,
+)
+def main(seed: int, out: pathlib.Path) -> None:
+    """Measure the path's own cost with real processes."""
+    experiment = PathExperiment()
+    finished = report.Finished(experiment, seed, experiment.run(seed), 0.0)
+    report.write([finished], out)
+    click.echo(report.format_table(finished))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/load_target.py
@@ -0,0 +1,150 @@
+"""What the load tool asks: an entry's chat, or an engine directly."""
+
+import abc
+import time
+
+import orjson
+from tornado import httpclient
+
+_OK = 200
+
+
+class Progress:
+    """What has come back of one answer.
+
+    :param mark: the bytes that stand before each token.
+    :param end: the bytes that only a whole answer holds.
+    """
+
+    def __init__(self, mark: bytes, end: bytes) -> None:
+        self._mark = mark
+        self._end = end
+        self._tail = b""
+        self._is_whole = False
+        self.tokens = 0
+        self.first_at: float | None = None
+
+    def feed(self, data: bytes) -> None:
+        """Take in a part of the body.
+
+        :param data: the part; marks may be cut between two.
+        """
+        keep = max(len(self._mark), len(self._end)) - 1
+        text = self._tail + data
+        # Marks within the tail were counted before.
+        self.tokens += text.count(self._mark) - self._tail.count(self._mark)
+        self._is_whole = self._is_whole or self._end in text
+        self._tail = text[-keep:]
+        if self.tokens and self.first_at is None:
+            self.first_at = time.monotonic()
+
+    def find_outcome(self, status: int) -> str:
+        """Return how the answer ended.
+
+        :param status: the HTTP status.
+        """
+        if status != _OK:
+            return f"status-{status}"
+        return "completed" if self._is_whole else "cut-short"
+
+
+class Target(abc.ABC):
+    """Something that generates."""
+
+    @abc.abstractmethod
+    def make_request(
+        self, request_id: str, prefix: str
+    ) -> httpclient.HTTPRequest:
+        """Return a request for an answer.
+
+        :param request_id: unique in a run.
+        :param prefix: how the prompt begins.
+        """
+
+    @abc.abstractmethod
+    def make_progress(self) -> Progress:
+        """Return what takes in the answer."""
+
+
+class EntryTarget(Target):
+    """An entry's streamed chat completions.
+
+    :param url: the entry's base address.
+    :param model: the model's name.
+    :param tokens: how long the answers are.
+    :param key: the API key.
+    """
+
+    def __init__(self, url: str, model: str, tokens: int, key: str) -> None:
+        self._url = f"{url.rstrip('/')}/v1/chat/completions"
+        self._model = model
+        self._tokens = tokens
+        self._headers = {"Authorization": f"Bearer {key}"}
+
+    def make_request(
+        self, request_id: str, prefix: str
+    ) -> httpclient.HTTPRequest:
+        """Return a request for an answer.
+
+        :param request_id: unique in a run.
+        :param prefix: how the prompt begins.
+        """
+        content = f"{prefix} {request_id} [tokens={self._tokens}]"
+        body = {
+            "model": self._model,
+            "stream": True,
+            "max_tokens": self._tokens,
+            "messages": [{"role": "user", "content": content}],
+        }
+        return httpclient.HTTPRequest(
+            self._url,
+            method="POST",
+            headers=self._headers,
+            body=orjson.dumps(body),
+        )
+
+    def make_progress(self) -> Progress:
+        """Return what takes in the answer."""
+        # The first event of a stream has a role besides its content.
+        return Progress(b'"delta":{"content":', b"data: [DONE]")
+
+
+class EngineTarget(Target):
+    """An engine, asked as an agent asks it.
+
+    :param url: the engine's base address.
+    :param model: the model's name.
+    :param version: the model's version.
+    :param tokens: how long the answers are.
+    """
+
+    def __init__(
+        self, url: str, model: str, version: str, tokens: int
+    ) -> None:
+        self._url = f"{url.rstrip('/')}/generate"
+        self._model = model
+        self._version = version
+        self._tokens = tokens
+
+    def make_request(
+        self, request_id: str, prefix: str
+    ) -> httpclient.HTTPRequest:
+        """Return a request for an answer.
+
+        :param request_id: unique in a run.
+        :param prefix: how the prompt begins.
+        """
+        body = {
+            "request_id": request_id,
+            "model": self._model,
+            "version": self._version,
+            "prompt": f"{prefix} {request_id} [tokens={self._tokens}]",
+            "max_tokens": self._tokens,
+        }
+        return httpclient.HTTPRequest(
+            self._url, method="POST", body=orjson.dumps(body)
+        )
+
+    def make_progress(self) -> Progress:
+        """Return what takes in the answer."""
+        return Progress(b'{"index":', b'"done":true')
