Send streamed tokens without waiting for acknowledgements

Cause: connections to the entry kept Nagle's algorithm, so the first token, which follows the stream's opening event, waited for the acknowledgement that the caller's system delays for 40 ms.

--- a/packages/wagtailstream-platform/wagtailstream_platform/factory.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/factory.py
@@ -36,6 +36,9 @@
     family = socket.AF_INET6 if loaded.host.version == 6 else socket.AF_INET
     bound = socket.socket(family, socket.SOCK_STREAM)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    # Accepted connections inherit it. A streamed token must not wait for the
+    # acknowledgement of the one before.
+    bound.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     bound.bind((str(loaded.host), loaded.port))
     bound.setblocking(False)
     return bound
