Stop raising an error for each settled request, and spend less a token

Found by cProfile on entry and agent under 256 callers. Cause: settling ended the stream and then cancelled it, which h2 refuses; every request logged an ERROR with its traceback and left its stream open. Change: an ended stream is not cancelled; a stream's events are encoded once but for their content; the meter counts tokens and makes the cost when asked.

test_one_line_a_request_and_no_content fails without the change: two errors in the entry's log.

--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -87,13 +87,28 @@
 
 
 class Meter:
-    """What an attempt has used so far; billed if nobody else settles it.
-
-    :param cost: the cost so far; None until something ran.
-    """
+    """What an attempt has used so far; billed if nobody else settles it."""
 
     def __init__(self) -> None:
-        self.cost: billing.AttemptCost | None = None
+        self._cost: billing.AttemptCost | None = None
+        self._answer_tokens = 0
+
+    @property
+    def cost(self) -> billing.AttemptCost | None:
+        """The cost so far; None until something ran."""
+        if self._cost is None or not self._answer_tokens:
+            return self._cost
+        return self._cost.model_copy(
+            update={"answer_tokens": self._answer_tokens}
+        )
+
+    @cost.setter
+    def cost(self, value: billing.AttemptCost | None) -> None:
+        self._cost = value
+
+    def count_token(self) -> None:
+        """Add a token of the answer."""
+        self._answer_tokens += 1
 
 
 class Runner(abc.ABC):
@@ -262,7 +277,6 @@
         meter: Meter,
     ) -> None:
         digest = hashlib.sha256()
-        tokens = 0
         stream = self._engine.generate(attempt, model_work)
         async with contextlib.aclosing(stream):
             async for item in stream:
@@ -271,10 +285,7 @@
                     return
                 data = item.text.encode()
                 digest.update(data)
-                tokens += 1
-                meter.cost = self._make_cost(attempt, model_work).model_copy(
-                    update={"answer_tokens": tokens}
-                )
+                meter.count_token()
                 await emit(
                     assembly.Chunk(
                         attempt.request_id, attempt.number, item.index, data
--- a/packages/wagtailstream-entry/wagtailstream_entry/chat_handler.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/chat_handler.py
@@ -10,6 +10,9 @@
     responses,
 )
 
+# Stands for the content while the rest of an event is encoded.
+_CONTENT_MARK = "\x00"
+
 
 class _ChatSink(exchange.AnswerSink):
     """Streams where the caller asked for it, and gathers otherwise."""
@@ -38,8 +41,7 @@
 
     async def write(self, data: bytes) -> None:
         if self._request is not None and self._is_streaming:
-            delta = {"content": data.decode("utf-8", "replace")}
-            await self._handler.send_delta(self._request, delta, None)
+            await self._handler.send_content(data)
         else:
             await self._gathered.write(data)
 
@@ -47,6 +49,9 @@
 class ChatHandler(handler_base.BodyHandler):
     """Chat completions, streamed and not."""
 
+    _before = b""
+    _after = b""
+
     async def post(self) -> None:
         """Answer a chat completion."""
         sink = _ChatSink(self)
@@ -83,26 +88,28 @@
         self.set_origin_headers(request)
         self.set_header("Content-Type", "text/event-stream")
         self.set_header("Cache-Control", "no-cache")
-        await self.send_delta(
-            request, {"role": "assistant", "content": ""}, None
+        opening = {"role": "assistant", "content": ""}
+        await self._send_event(self._make_chunk(request, opening))
+        # All events but their content are the same, so they are encoded once.
+        marked = self._make_chunk(request, {"content": _CONTENT_MARK})
+        encoded = b"data: " + orjson.dumps(marked) + b"\n\n"
+        self._before, _, self._after = encoded.partition(
+            orjson.dumps(_CONTENT_MARK)
         )
 
-    async def send_delta(
-        self,
-        request: exchange.Exchange,
-        delta: responses.Json,
-        finish_reason: str | None,
-    ) -> None:
-        """Send one event of a stream.
+    def _make_chunk(
+        self, request: exchange.Exchange, delta: responses.Json
+    ) -> responses.Json:
+        return responses.make_chunk(request, self._created, delta, None)
 
-        :param request: the request.
-        :param delta: what the event adds.
-        :param finish_reason: why generation ended, in the last event.
+    async def send_content(self, data: bytes) -> None:
+        """Send one event with a piece of the answer.
+
+        :param data: the piece.
         """
-        body = responses.make_chunk(
-            request, self._created, delta, finish_reason
-        )
-        await self._send_event(body)
+        text = orjson.dumps(data.decode("utf-8", "replace"))
+        self.write(self._before + text + self._after)
+        await self.flush()
 
     async def _send_event(self, body: responses.Json) -> None:
         self.write(b"data: " + orjson.dumps(body) + b"\n\n")
--- a/packages/wagtailstream-entry/wagtailstream_entry/connection.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -14,6 +14,7 @@
 import grpclib
 import grpclib.client
 import grpclib.exceptions
+import h2.exceptions
 
 from wagtailstream_core import errors, wire_codec, wire_grpc, wire_pb2, work
 from wagtailstream_platform import auth
@@ -27,6 +28,7 @@
     grpclib.GRPCError,
     grpclib.exceptions.StreamTerminatedError,
     grpclib.exceptions.ProtocolError,
+    h2.exceptions.ProtocolError,
     OSError,
     asyncio.TimeoutError,
 )
@@ -212,6 +214,7 @@
             | None
         ) = None
         self._is_closed = False
+        self._is_ended = False
 
     @property
     def is_alive(self) -> bool:
@@ -280,6 +283,7 @@
                         end=True,
                     )
                     await self._stream.recv_trailing_metadata()
+                    self._is_ended = True
         await self.close()
 
     async def close(self) -> None:
@@ -289,7 +293,7 @@
         self._is_closed = True
         self._owner.note_run_closed()
         with contextlib.suppress(*FAULTS):
-            if self._stream is not None:
+            if self._stream is not None and not self._is_ended:
                 await self._stream.cancel()
         with contextlib.suppress(*FAULTS, Exception):
             await self._stack.aclose()
--- a/tests/integration/test_logs.py
+++ b/tests/integration/test_logs.py
@@ -65,3 +65,7 @@
     )
     for content in (PROMPT, BODY, answer.text[:20], support.KEY):
         assert content not in written
+    errors = [
+        line for line in read_lines(tmp_path) if line["level"] == "ERROR"
+    ]
+    assert errors == []
