--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -15,6 +15,8 @@
     plain_service,
     results,
     slots,
+    stall,
+    trial,
 )
 from wagtailstream_core import (
     assembly,
@@ -85,6 +87,13 @@
         :param refusal: the refusal.
         """
 
+    @abc.abstractmethod
+    def note_death(self, attempt: work.Attempt) -> None:
+        """Note that the endpoint died of an attempt.
+
+        :param attempt: the attempt.
+        """
+
 
 class Meter:
     """What an attempt has used so far; billed if nobody else settles it."""
@@ -131,6 +140,7 @@
         self._endpoint = endpoint
         self._slots = endpoint_slots
         self._clock = system_clock
+        self._trials = trial.TrialRoom(endpoint_slots, system_clock)
 
     async def run(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -154,15 +164,20 @@
         self._pass_gate(attempt)
         await self._acquire(attempt)
         started_at = self._clock.monotonic()
+        self._trials.enter(attempt)
         try:
             await self._run_in_slot(attempt, emit, meter)
         finally:
+            self._trials.leave(attempt)
             self._slots.release(self._clock.monotonic() - started_at)
 
     async def _acquire(self, attempt: work.Attempt) -> None:
         verdict = await self._slots.acquire(
             slots.Applicant(
-                attempt.customer, attempt.priority, attempt.deadline
+                attempt.customer,
+                attempt.priority,
+                attempt.deadline,
+                attempt.is_suspect,
             )
         )
         if verdict.is_ok():
@@ -195,16 +210,28 @@
             errors.not_run(reason, message, "run", self._keeper.name, retry_at)
         )
 
-    def _abort_unknown(self, message: str) -> AttemptAbortedError:
+    def _abort_unknown(
+        self,
+        message: str,
+        reason: errors.Reason = errors.Reason.ENDPOINT_FAILED,
+    ) -> AttemptAbortedError:
         return AttemptAbortedError(
-            errors.unknown(
-                errors.Reason.ENDPOINT_FAILED,
-                message,
-                "run",
-                self._keeper.name,
-            )
+            errors.unknown(reason, message, "run", self._keeper.name)
         )
 
+    async def _abort_lost(
+        self, attempt: work.Attempt, error: errors.PeerError
+    ) -> AttemptAbortedError:
+        """Judge whether the endpoint died, and of which attempt."""
+        is_blamed = self._trials.judge_death(attempt)
+        if is_blamed and await trial.is_dead(error.peer):
+            self._keeper.note_death(attempt)
+            return self._abort_unknown(
+                "the endpoint died under the request",
+                errors.Reason.ENDPOINT_LOST,
+            )
+        return self._abort_unknown(f"the endpoint gave no answer: {error}")
+
     @abc.abstractmethod
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -219,6 +246,7 @@
     :param endpoint_slots: admits attempts.
     :param system_clock: tells the time.
     :param model_engine: the engine.
+    :param stall_watch: watches the engine's progress.
     """
 
     def __init__(
@@ -228,9 +256,11 @@
         endpoint_slots: slots.Slots,
         system_clock: clock.Clock,
         model_engine: engine.Engine,
+        stall_watch: stall.StallWatch,
     ) -> None:
         super().__init__(keeper, endpoint, endpoint_slots, system_clock)
         self._engine = model_engine
+        self._stall_watch = stall_watch
 
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -256,6 +286,19 @@
                 "the engine's queue is full",
                 gate.FULL_RETRY_SECONDS,
             ) from error
+        except engine.NotSentError as error:
+            meter.cost = None
+            raise self._abort(
+                errors.Reason.ENDPOINT_FAILED,
+                "the engine can't be reached",
+                gate.LOAD_RETRY_SECONDS,
+            ) from error
+        except engine.LostError as error:
+            raise await self._abort_lost(attempt, error) from error
+        except stall.StalledError as error:
+            raise self._abort_unknown(
+                "the engine made no progress", errors.Reason.ENDPOINT_STALLED
+            ) from error
         except (errors.PeerError, TimeoutError) as error:
             raise self._abort_unknown(f"the engine failed: {error}") from error
 
@@ -278,8 +321,13 @@
     ) -> None:
         digest = hashlib.sha256()
         stream = self._engine.generate(attempt, model_work)
-        async with contextlib.aclosing(stream):
+        async with (
+            contextlib.aclosing(stream),
+            self._stall_watch.guard(),
+        ):
             async for item in stream:
+                self._stall_watch.note_progress()
+                self._trials.leave(attempt)
                 if isinstance(item, engine.Done):
                     await self._end(attempt, item, digest, emit, meter)
                     return
@@ -476,6 +524,8 @@
                     claim.request_id, errors.Outcome.UNKNOWN, False
                 ),
             )
+            if isinstance(error, plain_service.LostError):
+                raise await self._abort_lost(attempt, error) from error
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
             ) from error
@@ -574,6 +624,8 @@
                 "the service can't be reached",
                 gate.LOAD_RETRY_SECONDS,
             ) from error
+        except plain_service.LostError as error:
+            raise await self._abort_lost(attempt, error) from error
         except errors.PeerError as error:
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
--- a/packages/wagtailstream-agent/wagtailstream_agent/slots.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/slots.py
@@ -36,11 +36,14 @@
 
     :param priority: higher goes first.
     :param deadline: Unix time in seconds, by when its answer is due.
+    :param is_suspect: whether an endpoint died under its body before; it
+        waits for the trial too and calls :meth:`Slots.end_trial`.
     """
 
     customer: str
     priority: int
     deadline: float
+    is_suspect: bool = False
 
 
 Verdict = expression.Result[None, Rejection]
@@ -50,6 +53,10 @@
 class Slots:
     """A bounded number of slots with a bounded queue.
 
+    An attempt under whose body an endpoint died before is a suspect. One
+    suspect at a time is on trial, until its first sign of progress; the
+    others wait. So a death tells which of them it was.
+
     :param count: how many attempts run at once.
     :param queue: how many may wait.
     :param system_clock: tells the time.
@@ -70,6 +77,8 @@
         self._service_time = admission.ServiceTime()
         self._queue = admission.AdmissionQueue(queue)
         self._waiters: dict[admission.Place, asyncio.Future[Verdict]] = {}
+        self._suspects: set[admission.Place] = set()
+        self._is_trial_open = True
 
     @property
     def count(self) -> int:
@@ -122,9 +131,11 @@
             asyncio.get_running_loop().create_future()
         )
         self._waiters[place] = future
+        if applicant.is_suspect:
+            self._suspects.add(place)
         self._admit()
         self._evict(occupancy, now)
-        return await self._wait(place, future, applicant.deadline - now)
+        return await self._wait(place, future, applicant)
 
     def _find_occupancy(self, applicant: Applicant) -> admission.Occupancy:
         place = self._queue.find_place(applicant.priority, applicant.customer)
@@ -143,6 +154,7 @@
         retry_at = admission.find_retry_at(
             admission.estimate_wait(occupancy), now, self._rng
         )
+        self._suspects.discard(place)
         self._waiters.pop(place).set_result(
             expression.Error(Rejection(Cause.FULL, retry_at))
         )
@@ -151,13 +163,16 @@
         self,
         place: admission.Place,
         future: "asyncio.Future[Verdict]",
-        seconds: float,
+        applicant: Applicant,
     ) -> Verdict:
+        seconds = applicant.deadline - self._clock.wall()
         limit = max(0.0, seconds - self._service_time.bound)
         try:
             await asyncio.wait([future], timeout=limit)
         except asyncio.CancelledError:
             if future.done() and future.result().is_ok():
+                if applicant.is_suspect:
+                    self.end_trial()
                 self._free()
             self._give_up(place)
             raise
@@ -172,6 +187,7 @@
     def _give_up(self, place: admission.Place) -> None:
         self._queue.remove(place)
         self._waiters.pop(place, None)
+        self._suspects.discard(place)
 
     def release(self, held_seconds: float) -> None:
         """Give a slot back.
@@ -185,8 +201,21 @@
         self._running -= 1
         self._admit()
 
+    def end_trial(self) -> None:
+        """Let the next suspect in."""
+        self._is_trial_open = True
+        self._admit()
+
     def _admit(self) -> None:
-        while len(self._queue) and self._running < self._count:
-            future = self._waiters.pop(self._queue.pop())
+        while self._running < self._count:
+            place = self._queue.pop_if(self._may_serve)
+            if place is None:
+                return
+            if place in self._suspects:
+                self._suspects.discard(place)
+                self._is_trial_open = False
             self._running += 1
-            future.set_result(_ADMITTED)
+            self._waiters.pop(place).set_result(_ADMITTED)
+
+    def _may_serve(self, place: admission.Place) -> bool:
+        return self._is_trial_open or place not in self._suspects
--- a/packages/wagtailstream-core/wagtailstream_core/admission.py
+++ b/packages/wagtailstream-core/wagtailstream_core/admission.py
@@ -6,6 +6,7 @@
 """
 
 import bisect
+import collections.abc
 import dataclasses
 import random
 
@@ -97,10 +98,27 @@
         :raises IndexError: nobody waits.
         """
         place = self._places[0]
-        self._served_turns[-place.rank] = place.turn
-        self.remove(place)
+        self._serve(place)
         return place
 
+    def pop_if(
+        self, may_serve: collections.abc.Callable[[Place], bool]
+    ) -> Place | None:
+        """Remove and return the first waiter that may be served, or None.
+
+        :param may_serve: tells whether a waiter may be served now.
+        """
+        for place in self._places:
+            if may_serve(place):
+                self._serve(place)
+                return place
+        return None
+
+    def _serve(self, place: Place) -> None:
+        served = self._served_turns.get(-place.rank, 0)
+        self._served_turns[-place.rank] = max(served, place.turn)
+        self.remove(place)
+
     def remove(self, place: Place) -> None:
         """Remove a waiter that gave up; one that is gone is let be.
 
--- a/packages/wagtailstream-core/wagtailstream_core/retries.py
+++ b/packages/wagtailstream-core/wagtailstream_core/retries.py
@@ -33,6 +33,8 @@
         errors.Reason.DRAINING,
         errors.Reason.ENDPOINT_FAILED,
         errors.Reason.ENDPOINT_FULL,
+        errors.Reason.ENDPOINT_LOST,
+        errors.Reason.ENDPOINT_STALLED,
         errors.Reason.NO_CONFIGURATION,
         errors.Reason.NOT_LOADED,
     }
--- a/packages/wagtailstream-entry/wagtailstream_entry/agent_state.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/agent_state.py
@@ -16,6 +16,7 @@
     :param service_bound: the time within which most are done, in seconds.
     :param others_rates: what customers ask of all other entries, a second.
     :param heard_at: monotonic seconds.
+    :param is_stalled: whether the endpoint makes no progress.
     """
 
     instance: str
@@ -33,6 +34,8 @@
     loaded: frozenset[configuration.ModelVersion]
     own_in_flight: int
     heard_at: float
+    sequence: int = 0
+    is_stalled: bool = False
 
 
 def decode_state(
@@ -63,4 +66,6 @@
         ),
         own_in_flight,
         now,
+        message.sequence,
+        message.stalled,
     )
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -1,6 +1,7 @@
 """Wires the entry together, serves, and shuts down gracefully."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import signal
@@ -11,7 +12,9 @@
 
 from wagtailstream_core import clock, freshness, wire_codec, wire_pb2
 from wagtailstream_entry import (
+    agent_link,
     authenticate,
+    connection,
     current,
     deadline,
     dispatch,
@@ -19,8 +22,10 @@
     handlers,
     limit,
     links,
+    open_requests,
     parse_chat,
     pipeline,
+    quarantine,
     rating,
     responses,
     resume_session,
@@ -30,17 +35,20 @@
     settle,
 )
 from wagtailstream_platform import (
+    alarm,
     bill_outbox,
     factory,
     follower,
     instance_list,
     log_client,
     reporter,
+    strike_board,
     tls,
 )
 
 DRAIN_POLL_SECONDS = 0.05
 FLUSH_LIMIT_SECONDS = 5.0
+ABORT_LIMIT_SECONDS = 2.0
 MAX_HEADER_BYTES = 16384
 MAX_BUFFER_BYTES = 1048576
 # The handlers refuse earlier, with a typed error; this is the last bound.
@@ -75,14 +83,29 @@
             entry_settings.bill_window_seconds,
             self._metrics,
         )
+        self._alarm = alarm.Alarm()
+        strikes = strike_board.StrikeBoard(
+            self._follower,
+            self._clock,
+            self._alarm,
+            self._metrics,
+            entry_settings.instance,
+        )
         self._table = links.LinkTable(
             instance_list.HttpInstanceList(str(platform.instances)),
             self._follower,
             factory.make_authenticator(entry_settings),
             self._clock,
-            self._make_heartbeat,
-            entry_settings.heartbeat_seconds,
+            connection.WatchSettings(
+                entry_settings.heartbeat_seconds,
+                self._make_heartbeat,
+                strikes,
+                self._alarm,
+            ),
             entry_settings.refresh_seconds,
+            links.LinkBounds(
+                entry_settings.instance, entry_settings.max_links
+            ),
             tls.make_client_context(entry_settings.tls),
         )
         self._dispatcher = dispatch.Dispatcher(
@@ -92,6 +115,13 @@
             random.Random(),
             self._metrics,
             entry_settings.instance,
+            quarantine.Quarantine(
+                strikes,
+                self._log,
+                self._follower,
+                entry_settings.load_fleet_signer(),
+                self._clock,
+            ),
         )
         self._settle = settle.Settle(
             self._outbox, self._clock, entry_settings.instance
@@ -99,7 +129,7 @@
         self._limiter = limit.LimitCustomer(
             self._table, self._clock, entry_settings.instance
         )
-        self._open_requests: set[str] = set()
+        self._open_requests = open_requests.OpenRequests()
         self._is_draining = False
         self._sequence = 0
         self._stop = asyncio.Event()
@@ -188,6 +218,7 @@
     def _is_ready(self) -> bool:
         return (
             not self._is_draining
+            and self._table.has_list
             and self._follower.state.bundle is not None
             and self._follower.judge() is not freshness.Freshness.CUT_OFF
         )
@@ -221,7 +252,7 @@
             ],
         }
 
-    def _describe_link(self, link: links.AgentLink) -> responses.Json:
+    def _describe_link(self, link: agent_link.AgentLink) -> responses.Json:
         state = link.state
         if state is None:
             return {"address": link.address, "reachable": False}
@@ -280,6 +311,7 @@
     ) -> None:
         """Refuse new work, let what runs end, flush the bills, stop."""
         self._is_draining = True
+        self._alarm.ring()
         _LOGGER.info("draining", extra={"open": len(self._open_requests)})
         await self._wait_idle()
         server.stop()
@@ -295,15 +327,24 @@
     async def _wait_idle(self) -> None:
         try:
             async with asyncio.timeout(self._settings.drain_seconds):
-                while self._open_requests:
-                    await asyncio.sleep(DRAIN_POLL_SECONDS)
-                # The last answers are written after their requests end.
-                await asyncio.sleep(DRAIN_POLL_SECONDS)
+                await self._wait_answered()
         except TimeoutError:
             _LOGGER.warning(
                 "drain limit reached",
                 extra={"open": len(self._open_requests)},
             )
+            await self._give_up_open()
+
+    async def _wait_answered(self) -> None:
+        while len(self._open_requests):
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _give_up_open(self) -> None:
+        """Give each open request its final answer; the agents bill."""
+        self._open_requests.abort()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ABORT_LIMIT_SECONDS):
+                await self._wait_answered()
 
     async def _flush(self) -> None:
         try:
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -17,12 +17,14 @@
     work,
 )
 from wagtailstream_entry import (
+    agent_link,
     agent_state,
     connection,
     exchange,
     hedge,
     job,
     links,
+    quarantine,
     target,
 )
 from wagtailstream_platform import metrics
@@ -56,6 +58,7 @@
     :param rng: draws the endpoints to compare.
     :param counters: takes the counts.
     :param peer: this instance's name, for refusals.
+    :param quarantined: judges bodies under which endpoints died.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         rng: random.Random,
         counters: metrics.Metrics,
         peer: str,
+        quarantined: quarantine.Quarantine,
     ) -> None:
         self._table = table
         self._data_centre = data_centre
@@ -75,6 +79,7 @@
         self._peer = peer
         self._budget = retries.Budget(retries.RETRY_SHARE)
         self._hedger = hedge.Hedger(system_clock)
+        self._quarantine = quarantined
 
     @property
     def table(self) -> links.LinkTable:
@@ -120,6 +125,9 @@
         return False
 
     async def _try_once(self, item: job.Job) -> Outcome:
+        refusal = self._quarantine.check(item.digest)
+        if refusal is not None:
+            return expression.Error(refusal)
         link = self._choose(item)
         if link is None:
             item.exhausted = item.last_refusal or self._refuse_unsent(item)
@@ -127,17 +135,25 @@
         try:
             leg = await self._open(item, link)
         except errors.PeerError as error:
-            refusal = self._describe_failure(link, error)
+            refusal = await self._describe_failure(link, error)
             await self._note_refused(item, link, refusal)
             return expression.Error(refusal)
         return await self._attempt(item, [leg])
 
-    def _describe_failure(
-        self, link: links.AgentLink, error: errors.PeerError
+    async def _describe_failure(
+        self,
+        link: agent_link.AgentLink,
+        error: errors.PeerError,
+        was_accepted: bool = False,
     ) -> errors.Refusal:
         was_sent = not isinstance(error, connection.NotSentError)
+        is_lost = (
+            was_accepted and not link.is_draining and not await link.is_alive()
+        )
         return errors.Refusal(
-            errors.Reason.ENDPOINT_FAILED,
+            errors.Reason.ENDPOINT_LOST
+            if is_lost
+            else errors.Reason.ENDPOINT_FAILED,
             errors.Outcome.UNKNOWN if was_sent else errors.Outcome.NOT_RUN,
             "the endpoint failed",
             error.step,
@@ -162,7 +178,7 @@
             self._clock.wall() + RETRY_SECONDS,
         )
 
-    def _choose(self, item: job.Job) -> links.AgentLink | None:
+    def _choose(self, item: job.Job) -> agent_link.AgentLink | None:
         by_endpoint = {
             link.state.endpoint: link
             for link in self._table.list_links()
@@ -197,7 +213,7 @@
         return late is None
 
     def _make_candidate(
-        self, link: links.AgentLink, state: agent_state.AgentState
+        self, link: agent_link.AgentLink, state: agent_state.AgentState
     ) -> routing.Candidate:
         return routing.Candidate(
             state.endpoint,
@@ -210,7 +226,9 @@
             state.is_draining,
         )
 
-    async def _open(self, item: job.Job, link: links.AgentLink) -> hedge.Leg:
+    async def _open(
+        self, item: job.Job, link: agent_link.AgentLink
+    ) -> hedge.Leg:
         """Send an attempt to an agent.
 
         :raises errors.PeerError: it could not be sent.
@@ -227,6 +245,7 @@
             request.deadline,
             item.priority,
             item.make_work(item.assembler.position),
+            self._quarantine.is_suspect(item.digest),
         )
         run = await link.open_run(attempt)
         return hedge.Leg(link, run, number, self._clock.monotonic())
@@ -250,7 +269,8 @@
     async def _race(self, item: job.Job, legs: list[hedge.Leg]) -> Outcome:
         first = legs[0]
         delay = self._hedger.find_delay(item)
-        if delay is None:
+        # What may crash endpoints is not sent to two at once.
+        if delay is None or self._quarantine.is_suspect(item.digest):
             answer = await self._next_piece(item, first)
             return await self._receive(item, first, first, answer)
         racing = {self._start_leg(item, first): first}
@@ -288,7 +308,7 @@
         try:
             leg = await self._open(item, link)
         except errors.PeerError as error:
-            refusal = self._describe_failure(link, error)
+            refusal = await self._describe_failure(link, error)
             await self._note_refused(item, link, refusal)
             return
         legs.append(leg)
@@ -317,16 +337,25 @@
             answer = await self._next_answer(leg)
             if not isinstance(answer, work.Accepted):
                 return answer
+            leg.is_accepted = True
             self._catch_up(leg.link, answer.configuration_offset)
 
     async def _next_answer(self, leg: hedge.Leg) -> Answer:
         try:
             answer = await leg.run.next_answer()
         except errors.PeerError as error:
-            return work.Refused(self._describe_failure(leg.link, error), -1)
+            return await self._fail(leg, error)
         leg.link.note_progress()
         return answer
 
+    async def _fail(
+        self, leg: hedge.Leg, error: errors.PeerError
+    ) -> work.Refused:
+        refusal = await self._describe_failure(
+            leg.link, error, leg.is_accepted
+        )
+        return work.Refused(refusal, -1)
+
     def _refuse_late(self) -> errors.Refusal:
         return errors.Refusal(
             errors.Reason.DEADLINE_PAST,
@@ -359,10 +388,10 @@
                     ended = answer
                     item.finish(answer)
             except errors.PeerError as error:
-                failure = self._describe_failure(leg.link, error)
-                answer = work.Refused(failure, -1)
+                answer = await self._fail(leg, error)
                 break
             if ended is not None and item.assembler.is_complete:
+                self._quarantine.note_answer(item.digest)
                 return expression.Ok(
                     Completed(ended, leg.run, item.request.origin.endpoint)
                 )
@@ -377,12 +406,15 @@
                 item.request.origin, endpoint=leg.link.state.endpoint
             )
 
-    def _catch_up(self, link: links.AgentLink, offset: int) -> None:
+    def _catch_up(self, link: agent_link.AgentLink, offset: int) -> None:
         if offset > self._table.follower.state.offset:
             self._table.spawn(link.pull_configuration())
 
     async def _note_refused(
-        self, item: job.Job, link: links.AgentLink, refusal: errors.Refusal
+        self,
+        item: job.Job,
+        link: agent_link.AgentLink,
+        refusal: errors.Refusal,
     ) -> None:
         item.last_refusal = refusal
         if refusal.outcome is errors.Outcome.NOT_RUN:
@@ -395,4 +427,10 @@
                 link.note_draining()
             case errors.Reason.ENDPOINT_FAILED:
                 link.note_failure()
+            case errors.Reason.ENDPOINT_STALLED:
+                link.note_failure()
+            case errors.Reason.ENDPOINT_LOST:
+                link.note_failure()
+                endpoint = link.state.endpoint if link.state else ""
+                await self._quarantine.note_death(item.digest, endpoint)
         item.tried.add(link.address)
--- a/packages/wagtailstream-entry/wagtailstream_entry/hedge.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/hedge.py
@@ -4,22 +4,24 @@
 import dataclasses
 
 from wagtailstream_core import clock, retries, routing
-from wagtailstream_entry import connection, job, links
+from wagtailstream_entry import agent_link, connection, job
 
 MAX_MODELS = 256
 
 
-@dataclasses.dataclass(frozen=True, eq=False)
+@dataclasses.dataclass(eq=False)
 class Leg:
     """One of the attempts that race for the first piece of an answer.
 
     :param sent_at: monotonic seconds.
+    :param is_accepted: whether the agent said that it dispatches it.
     """
 
-    link: links.AgentLink
+    link: agent_link.AgentLink
     run: connection.Run
     number: int
     sent_at: float
+    is_accepted: bool = False
 
 
 class Hedger:
--- a/packages/wagtailstream-entry/wagtailstream_entry/job.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/job.py
@@ -31,6 +31,7 @@
         self.assembler = assembly.Assembler(request.request_id)
         self.tried: set[str] = set()
         self.attempts = 0
+        self.digest = work.digest(make_work(0))
         # Attempts of which it is not known that they did not run.
         self.unresolved = 0
         self.last_refusal: errors.Refusal | None = None
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -16,199 +16,40 @@
     errors,
     wire_codec,
     wire_pb2,
-    work,
 )
-from wagtailstream_entry import agent_state, connection, limit
+from wagtailstream_entry import agent_link, connection, limit, link_choice
 from wagtailstream_platform import auth, follower, instance_list
 
-MAX_RUNS_PER_CONNECTION = 80
-REDIAL_SECONDS = 0.25
-SUSPECT_SECONDS = 3.0
-STALL_SECONDS = 2.0
+FORGET_SECONDS = 30.0
 # Heartbeats that may be missed before an endpoint is suspect.
 LATE_HEARTBEATS = 2.0
 HEARTBEAT_SLACK_SECONDS = 0.1
-FORGET_SECONDS = 30.0
 
 _LOGGER = logging.getLogger(__name__)
 
 
-class AgentLink:
-    """All that this entry holds of one agent.
+@dataclasses.dataclass(frozen=True)
+class LinkBounds:
+    """Which part of a large fleet an entry links to.
 
-    :param address: the agent's IP number and port.
-    :param table: the table that it belongs to.
+    :param entry: the entry's name.
+    :param max_links: how many links it keeps.
     """
 
-    def __init__(self, address: str, table: "LinkTable") -> None:
-        self._address = address
-        self._table = table
-        self._connections: list[connection.Connection] = []
-        self._watches: set[asyncio.Task[None]] = set()
-        self._state: agent_state.AgentState | None = None
-        self._is_listed_leaving = False
-        self._failed_at = -SUSPECT_SECONDS
-        self._progress_at = 0.0
-        self._keeper = asyncio.ensure_future(self._keep_connected())
-
-    @property
-    def address(self) -> str:
-        """The agent's IP number and port."""
-        return self._address
-
-    @property
-    def state(self) -> agent_state.AgentState | None:
-        """The agent's state as last heard; None before the first time."""
-        return self._state
-
-    @property
-    def in_flight(self) -> int:
-        """How many attempts of this entry are under way there."""
-        return sum(c.in_flight for c in self._connections)
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether the agent may be given new work."""
-        return (
-            self._state is not None
-            and not self._state.is_draining
-            and not self._is_listed_leaving
-            and any(not c.is_closed for c in self._connections)
-        )
-
-    @property
-    def is_suspect(self) -> bool:
-        """Whether the agent failed, is late or sends no answers on."""
-        now = self._table.clock.monotonic()
-        heard_at = self._state.heard_at if self._state else 0.0
-        is_stalled = (
-            self.in_flight > 0 and now - self._progress_at > STALL_SECONDS
-        )
-        return (
-            is_stalled
-            or now - self._failed_at < SUSPECT_SECONDS
-            or now - heard_at > self._table.late_seconds
-        )
-
-    def set_listed_leaving(self, is_leaving: bool) -> None:
-        """Note what the platform's list says.
-
-        :param is_leaving: whether it lists the agent as leaving.
-        """
-        self._is_listed_leaving = is_leaving
-
-    def note_failure(self) -> None:
-        """Note that an attempt failed at the agent."""
-        self._failed_at = self._table.clock.monotonic()
-
-    def note_progress(self) -> None:
-        """Note that the agent sent a part of an answer."""
-        self._progress_at = self._table.clock.monotonic()
-
-    def note_draining(self) -> None:
-        """Note that the agent refused since it is draining."""
-        if self._state is not None:
-            self._state = dataclasses.replace(self._state, is_draining=True)
-
-    async def open_run(self, attempt: work.Attempt) -> connection.Run:
-        """Send an attempt to the agent.
-
-        :param attempt: the attempt.
-        :raises errors.PeerError: it could not be sent.
-        """
-        if self.in_flight == 0:
-            self.note_progress()
-        return await self._pick_connection().open_run(attempt)
+    entry: str
+    max_links: int
 
-    def pick_any(self) -> connection.Connection:
-        """Return an open connection.
 
-        :raises errors.PeerError: there is none.
-        """
-        for candidate in self._connections:
-            if not candidate.is_closed:
-                return candidate
-        raise errors.PeerError("connect", self._address, "not connected")
-
-    def _pick_connection(self) -> connection.Connection:
-        is_open = [c for c in self._connections if not c.is_closed]
-        best = min(is_open, key=lambda c: c.in_flight, default=None)
-        if best is None or best.in_flight >= MAX_RUNS_PER_CONNECTION:
-            return self._dial()
-        return best
-
-    def _dial(self) -> connection.Connection:
-        dialled = self._table.dial(self._address)
-        self._connections.append(dialled)
-        watch = asyncio.ensure_future(self._watch(dialled))
-        self._watches.add(watch)
-        watch.add_done_callback(self._watches.discard)
-        return dialled
-
-    async def _watch(self, dialled: connection.Connection) -> None:
-        await self._table.watch(dialled, self._take_heartbeat)
-        self._connections.remove(dialled)
-
-    async def _keep_connected(self) -> None:
-        while True:
-            if not self._connections:
-                self._dial()
-            await asyncio.sleep(REDIAL_SECONDS)
-
-    def _take_heartbeat(
-        self, source: connection.Connection, message: wire_pb2.Heartbeat
-    ) -> None:
-        self._state = agent_state.decode_state(
-            message, self.in_flight, self._table.clock.monotonic()
-        )
-        self._table.take_heartbeat(self, source, message)
-
-    async def push_configuration(self) -> bool:
-        """Bring the agent up to this entry; return whether it is there."""
-        news = self._table.follower.read_since(
-            self._state.configuration_offset if self._state else -1
-        )
-        if news is None:
-            news = self._table.follower.read_all_kept()
-        try:
-            offset = await self.pick_any().push_configuration(
-                wire_codec.encode_records(news)
-            )
-        except errors.PeerError as error:
-            _LOGGER.debug("push failed", extra={"detail": str(error)})
-            return False
-        return offset >= self._table.follower.state.offset
-
-    async def pull_configuration(self) -> None:
-        """Catch up from the agent."""
-        try:
-            message = await self.pick_any().pull_configuration(
-                self._table.follower.state.offset
-            )
-        except errors.PeerError as error:
-            _LOGGER.debug("pull failed", extra={"detail": str(error)})
-            return
-        self._table.follower.adopt(wire_codec.decode_records(message))
-
-    def close(self) -> None:
-        """Drop all connections."""
-        self._keeper.cancel()
-        for watch in self._watches:
-            watch.cancel()
-        for dialled in self._connections:
-            dialled.close()
-
-
-class LinkTable(limit.Peers):
+class LinkTable(agent_link.LinkHost, limit.Peers):
     """The links to all agents, and what they tell of other entries.
 
     :param instances: the platform's list.
     :param config_follower: holds the configuration in force.
     :param authenticator: makes the credentials of calls.
     :param system_clock: tells the time.
-    :param make_heartbeat: returns this entry's present state.
-    :param heartbeat_seconds: the time between heartbeats.
+    :param watch_settings: how connections are watched.
     :param refresh_seconds: the time between looks at the list.
+    :param bounds: which part of a large fleet this entry links to.
     :param context: for TLS; None for plain connections.
     """
 
@@ -218,23 +59,26 @@
         config_follower: follower.Follower,
         authenticator: auth.Authenticator,
         system_clock: clock.Clock,
-        make_heartbeat: connection.HeartbeatMaker,
-        heartbeat_seconds: float,
+        watch_settings: connection.WatchSettings,
         refresh_seconds: float,
+        bounds: LinkBounds,
         context: ssl.SSLContext | None = None,
     ) -> None:
         self._context = context
         self._instances = instances
+        self._bounds = bounds
+        self._listed: dict[str, instance_list.Instance] = {}
+        self._avoided: dict[str, float] = {}
         self._refresh_seconds = refresh_seconds
-        self._links: dict[str, AgentLink] = {}
+        self._links: dict[str, agent_link.AgentLink] = {}
         self._unlisted_at: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._entry_count = 1
+        self._has_list = False
         self._follower = config_follower
         self._authenticator = authenticator
         self._clock = system_clock
-        self._make_heartbeat = make_heartbeat
-        self._heartbeat_seconds = heartbeat_seconds
+        self._watch_settings = watch_settings
 
     @property
     def follower(self) -> follower.Follower:
@@ -249,9 +93,8 @@
     @property
     def late_seconds(self) -> float:
         """How long an agent may be silent before it is suspect."""
-        return (
-            LATE_HEARTBEATS * self._heartbeat_seconds + HEARTBEAT_SLACK_SECONDS
-        )
+        interval = self._watch_settings.interval_seconds
+        return LATE_HEARTBEATS * interval + HEARTBEAT_SLACK_SECONDS
 
     def dial(self, address: str) -> connection.Connection:
         """Return a new connection to an agent.
@@ -272,9 +115,12 @@
         :param dialled: the connection.
         :param take_heartbeat: takes the agent's heartbeats.
         """
-        await dialled.watch(
-            self._heartbeat_seconds, self._make_heartbeat, take_heartbeat
-        )
+        await dialled.watch(self._watch_settings, take_heartbeat)
+
+    @property
+    def has_list(self) -> bool:
+        """Whether the platform's list was ever read."""
+        return self._has_list
 
     @property
     def entry_count(self) -> int:
@@ -296,16 +142,23 @@
         ]
         return max(rates, default=None)
 
-    def list_links(self) -> collections.abc.Collection[AgentLink]:
+    def list_links(self) -> collections.abc.Collection[agent_link.AgentLink]:
         """Return all links."""
         return self._links.values()
 
-    def find_link(self, address: str) -> AgentLink | None:
+    def find_link(self, address: str) -> agent_link.AgentLink | None:
         """Return the link to an address, or None.
 
         :param address: the agent's IP number and port.
         """
-        return self._links.get(address)
+        if address not in self._links and address in self._listed:
+            # Asked for by name; it gets no new work.
+            self._links[address] = agent_link.AgentLink(address, self)
+            self._links[address].set_chosen(False)
+        link = self._links.get(address)
+        if link is not None:
+            link.note_asked()
+        return link
 
     async def run(self) -> None:
         """Follow the platform's list until cancelled."""
@@ -319,16 +172,45 @@
     def _apply(
         self, listed: collections.abc.Iterable[instance_list.Instance]
     ) -> None:
+        self._has_list = True
         agents = {i.address: i for i in listed if i.role == "agent"}
         self._entry_count = sum(
             i.role == "entry" and not i.is_leaving for i in listed
         )
-        for address, instance in agents.items():
-            if address not in self._links:
-                self._links[address] = AgentLink(address, self)
-            self._links[address].set_listed_leaving(instance.is_leaving)
+        self._listed = agents
+        self._apply_choice(self._choose(agents))
+        for address, link in self._links.items():
+            if address in agents:
+                link.set_listed_leaving(agents[address].is_leaving)
         self._forget_unlisted(agents)
 
+    def _choose(
+        self, agents: dict[str, instance_list.Instance]
+    ) -> frozenset[str]:
+        now = self._clock.monotonic()
+        for address, link in self._links.items():
+            if link.is_avoided(now):
+                self._avoided[address] = now + FORGET_SECONDS
+        self._avoided = {a: u for a, u in self._avoided.items() if u > now}
+        return link_choice.choose(
+            self._bounds.entry,
+            agents,
+            self._avoided,
+            self._follower.state.bundle,
+            self._bounds.max_links,
+        )
+
+    def _apply_choice(self, chosen: frozenset[str]) -> None:
+        for address in chosen:
+            if address not in self._links:
+                self._links[address] = agent_link.AgentLink(address, self)
+            self._links[address].set_chosen(True)
+        for address in set(self._listed) & set(self._links) - chosen:
+            link = self._links[address]
+            link.set_chosen(False)
+            if link.is_idle:
+                self._links.pop(address).close()
+
     def _forget_unlisted(
         self, agents: collections.abc.Mapping[str, instance_list.Instance]
     ) -> None:
@@ -349,7 +231,7 @@
 
     def take_heartbeat(
         self,
-        link: AgentLink,
+        link: agent_link.AgentLink,
         source: connection.Connection,
         message: wire_pb2.Heartbeat,
     ) -> None:
@@ -368,7 +250,7 @@
         elif message.configuration_offset < own:
             self.spawn(self._push(link))
 
-    async def _push(self, link: AgentLink) -> None:
+    async def _push(self, link: agent_link.AgentLink) -> None:
         await link.push_configuration()
 
     def spawn(
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -75,6 +75,7 @@
         self.address = name
         self.is_usable = True
         self.is_suspect = False
+        self.is_draining = False
         self.in_flight = 0
         self.runs: list[FakeRun] = []
         self._scripts = list(scripts)
@@ -115,6 +116,22 @@
 
     note_failure = note_draining = note_progress
 
+    async def is_alive(self) -> bool:
+        return True
+
+
+class FakeQuarantine:
+    """Holds no body in quarantine."""
+
+    def check(self, digest: str) -> None:
+        return None
+
+    def is_suspect(self, digest: str) -> bool:
+        return False
+
+    def note_answer(self, digest: str) -> None:
+        pass
+
 
 class World:
     """A dispatcher with fake links."""
@@ -132,6 +149,7 @@
             random.Random(1),
             self.counters,
             "entry",
+            typing.cast(typing.Any, FakeQuarantine()),
         )
         self.names = frozenset(fake.address for fake in fakes)
 
