--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -134,6 +134,7 @@
             typing.cast(bill_outbox.BillOutbox, None),
             results.ResultTable(),
             lambda name=name: make_heartbeat(name),  # type: ignore[misc]
+            clock.SystemClock(),
             parts.strikes,
             parts.alarm,
         )
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -26,6 +26,7 @@
 from wagtailstream_core import (
     clock,
     configuration,
+    errors,
     wire_codec,
     wire_pb2,
     work,
@@ -86,7 +87,12 @@
             agent_settings.bill_window_seconds,
             self._metrics,
         )
-        self._slots = slots.Slots(agent_settings.slots, agent_settings.queue)
+        self._slots = slots.Slots(
+            agent_settings.slots,
+            agent_settings.queue,
+            self._clock,
+            random.Random(),
+        )
         self._results = results.ResultTable()
         self._alarm = alarm.Alarm()
         self._strikes = strike_board.StrikeBoard(
@@ -109,6 +115,7 @@
             self._outbox,
             self._results,
             self._make_heartbeat,
+            self._clock,
             self._strikes,
             self._alarm,
         )
@@ -146,13 +153,16 @@
         )
         refusal = self._strikes.check(work.digest(attempt.work))
         if verdict.is_ok() and refusal is not None:
-            verdict = expression.Error(refusal)
-        if verdict.is_error():
-            self._metrics.count(
-                metrics.Metric.REFUSED, verdict.error.reason.value
-            )
+            return expression.Error(refusal)
         return verdict
 
+    def note_refusal(self, refusal: errors.Refusal) -> None:
+        """Count a refusal by its reason.
+
+        :param refusal: the refusal.
+        """
+        self._metrics.count(metrics.Metric.REFUSED, refusal.reason.value)
+
     def note_death(self, attempt: work.Attempt) -> None:
         """Note that the endpoint died of an attempt.
 
@@ -236,6 +246,16 @@
                 for v in (sorted(state.loaded) if state else ())
             ],
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            service_mean_ms=wire_codec.to_milliseconds(
+                self._slots.service_time.mean or 0.0
+            ),
+            service_bound_ms=wire_codec.to_milliseconds(
+                self._slots.service_time.bound
+            ),
+            queues=[
+                wire_pb2.QueueLength(priority=priority, queued=queued)
+                for priority, queued in self._slots.count_queued().items()
+            ],
             stalled=self._stall_watch.is_stalled,
         )
 
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import dataclasses
 import logging
 import typing
 
@@ -13,6 +14,8 @@
 
 from wagtailstream_agent import execution, results, runner
 from wagtailstream_core import (
+    clock,
+    demand,
     errors,
     ledger,
     wire_codec,
@@ -55,6 +58,7 @@
     :param outbox: holds bills until they are durable.
     :param result_table: keeps the results of claimed requests.
     :param make_heartbeat: returns this agent's present state.
+    :param system_clock: tells the time.
     :param strikes: the strikes that this agent knows.
     :param news_alarm: rings when a heartbeat should not wait.
     """
@@ -66,6 +70,7 @@
         outbox: bill_outbox.BillOutbox,
         result_table: results.ResultTable,
         make_heartbeat: HeartbeatMaker,
+        system_clock: clock.Clock,
         strikes: strike_board.StrikeBoard,
         news_alarm: alarm.Alarm,
     ) -> None:
@@ -74,6 +79,8 @@
         self._outbox = outbox
         self._results = result_table
         self._make_heartbeat = make_heartbeat
+        self._clock = system_clock
+        self._demands = demand.DemandBoard(SILENCE_SECONDS)
         self._strikes = strikes
         self._alarm = news_alarm
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
@@ -172,11 +179,12 @@
         """
         link = _find_link(stream)
         with self._alarm.subscribe() as is_due:
+            peer = _Peer()
             sender = asyncio.ensure_future(
-                self._send_heartbeats(stream, is_due)
+                self._send_heartbeats(stream, is_due, peer)
             )
             try:
-                await self._receive_heartbeats(stream, is_due)
+                await self._receive_heartbeats(stream, is_due, peer)
             except TimeoutError:
                 _LOGGER.info("entry went silent", extra={"peer": link})
             finally:
@@ -185,25 +193,26 @@
                     task.cancel()
 
     async def _receive_heartbeats(
-        self, stream: WatchStream, is_due: asyncio.Event
+        self, stream: WatchStream, is_due: asyncio.Event, peer: "_Peer"
     ) -> None:
         while True:
             async with asyncio.timeout(SILENCE_SECONDS):
                 message = await stream.recv_message()
             if message is None:
                 return
+            peer.instance = message.instance
             self._take_heartbeat(message)
             is_due.set()
 
     async def _send_heartbeats(
-        self, stream: WatchStream, is_due: asyncio.Event
+        self, stream: WatchStream, is_due: asyncio.Event, peer: "_Peer"
     ) -> None:
         """Answer each heartbeat, and send one when there is news."""
         position = 0
         while True:
             await is_due.wait()
             is_due.clear()
-            message = self._make_heartbeat()
+            message = self._make_heartbeat_for(peer)
             position = self._strikes.fill(message, position)
             await stream.send_message(message)
 
@@ -212,6 +221,19 @@
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
+        self._demands.put(
+            message.instance,
+            wire_codec.decode_demands(message.demands),
+            self._clock.monotonic(),
+        )
+
+    def _make_heartbeat_for(self, peer: "_Peer") -> wire_pb2.Heartbeat:
+        message = self._make_heartbeat()
+        others = self._demands.sum_others(
+            peer.instance, self._clock.monotonic()
+        )
+        message.demands.extend(wire_codec.encode_demands(others))
+        return message
 
     async def PushConfiguration(  # noqa: N802
         self, stream: PushStream
@@ -253,6 +275,13 @@
         await stream.send_message(_encode_result(self._results.find(key)))
 
 
+@dataclasses.dataclass
+class _Peer:
+    """The entry at the other end of a watched connection."""
+
+    instance: str = ""
+
+
 def _find_link(stream: RunStream | WatchStream) -> str:
     metadata = typing.cast(
         "collections.abc.Mapping[str, str]", stream.metadata or {}
--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -32,6 +32,17 @@
 LEDGER_RETRY_SECONDS = 2.0
 MAX_KEPT_BODY_BYTES = 16384
 
+_REJECTIONS = {
+    slots.Cause.FULL: (
+        errors.Reason.ENDPOINT_FULL,
+        "the endpoint's queue is full",
+    ),
+    slots.Cause.LATE: (
+        errors.Reason.DEADLINE_UNREACHABLE,
+        "the endpoint can't answer by the deadline",
+    ),
+}
+
 Emit = collections.abc.Callable[
     [work.Accepted | assembly.Chunk | work.Ended],
     collections.abc.Awaitable[None],
@@ -69,6 +80,13 @@
         :param attempt: the attempt.
         """
 
+    @abc.abstractmethod
+    def note_refusal(self, refusal: errors.Refusal) -> None:
+        """Count a refusal by its reason.
+
+        :param refusal: the refusal.
+        """
+
     @abc.abstractmethod
     def note_death(self, attempt: work.Attempt) -> None:
         """Note that the endpoint died of an attempt.
@@ -78,13 +96,28 @@
 
 
 class Meter:
-    """What an attempt has used so far; billed if nobody else settles it.
-
-    :param cost: the cost so far; None until something ran.
-    """
+    """What an attempt has used so far; billed if nobody else settles it."""
 
     def __init__(self) -> None:
-        self.cost: billing.AttemptCost | None = None
+        self._cost: billing.AttemptCost | None = None
+        self._answer_tokens = 0
+
+    @property
+    def cost(self) -> billing.AttemptCost | None:
+        """The cost so far; None until something ran."""
+        if self._cost is None or not self._answer_tokens:
+            return self._cost
+        return self._cost.model_copy(
+            update={"answer_tokens": self._answer_tokens}
+        )
+
+    @cost.setter
+    def cost(self, value: billing.AttemptCost | None) -> None:
+        self._cost = value
+
+    def count_token(self) -> None:
+        """Add a token of the answer."""
+        self._answer_tokens += 1
 
 
 class Runner(abc.ABC):
@@ -119,32 +152,43 @@
         :param meter: is kept up to date with the cost.
         :raises AttemptAbortedError: with the refusal to send.
         """
+        try:
+            await self._admit(attempt, emit, meter)
+        except AttemptAbortedError as error:
+            self._keeper.note_refusal(error.refusal)
+            raise
+
+    async def _admit(
+        self, attempt: work.Attempt, emit: Emit, meter: Meter
+    ) -> None:
         self._pass_gate(attempt)
-        if self._slots.is_full:
-            raise self._abort(
-                errors.Reason.ENDPOINT_FULL,
-                "the endpoint's queue is full",
-                gate.FULL_RETRY_SECONDS,
-            )
         await self._acquire(attempt)
+        started_at = self._clock.monotonic()
         self._trials.enter(attempt)
         try:
             await self._run_in_slot(attempt, emit, meter)
         finally:
             self._trials.leave(attempt)
-            self._slots.release()
+            self._slots.release(self._clock.monotonic() - started_at)
 
     async def _acquire(self, attempt: work.Attempt) -> None:
-        try:
-            async with asyncio.timeout(
-                max(0.0, attempt.deadline - self._clock.wall())
-            ):
-                await self._slots.acquire(attempt.priority, attempt.is_suspect)
-        except TimeoutError as error:
-            raise self._abort(
-                errors.Reason.DEADLINE_PAST,
-                "the deadline passed in the endpoint's queue",
-            ) from error
+        verdict = await self._slots.acquire(
+            slots.Applicant(
+                attempt.customer,
+                attempt.priority,
+                attempt.deadline,
+                attempt.is_suspect,
+            )
+        )
+        if verdict.is_ok():
+            return
+        rejection = verdict.error
+        reason, message = _REJECTIONS[rejection.cause]
+        raise AttemptAbortedError(
+            errors.not_run(
+                reason, message, "admit", self._keeper.name, rejection.retry_at
+            )
+        )
 
     def _pass_gate(self, attempt: work.Attempt) -> None:
         verdict = self._keeper.check(attempt)
@@ -276,7 +320,6 @@
         meter: Meter,
     ) -> None:
         digest = hashlib.sha256()
-        tokens = 0
         stream = self._engine.generate(attempt, model_work)
         async with (
             contextlib.aclosing(stream),
@@ -290,10 +333,7 @@
                     return
                 data = item.text.encode()
                 digest.update(data)
-                tokens += 1
-                meter.cost = self._make_cost(attempt, model_work).model_copy(
-                    update={"answer_tokens": tokens}
-                )
+                meter.count_token()
                 await emit(
                     assembly.Chunk(
                         attempt.request_id, attempt.number, item.index, data
--- a/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
@@ -11,18 +11,18 @@
 
 from wagtailstream_core import (
     clock,
-    configuration,
     errors,
     wire_codec,
     wire_pb2,
     work,
 )
-from wagtailstream_entry import connection
+from wagtailstream_entry import agent_state, connection
 from wagtailstream_platform import alarm, follower
 
 MAX_RUNS_PER_CONNECTION = 80
 REDIAL_SECONDS = 0.25
 SUSPECT_SECONDS = 3.0
+STALL_SECONDS = 2.0
 PROBE_SECONDS = 0.5
 AVOID_SECONDS = 5.0
 IDLE_SECONDS = 30.0
@@ -30,27 +30,6 @@
 _LOGGER = logging.getLogger(__name__)
 
 
-@dataclasses.dataclass(frozen=True)
-class AgentState:
-    """An agent's state as of its last heartbeat.
-
-    :param heard_at: monotonic seconds.
-    """
-
-    instance: str
-    endpoint: str
-    data_centre: str
-    configuration_offset: int
-    is_draining: bool
-    running: int
-    queued: int
-    slots: int
-    loaded: frozenset[configuration.ModelVersion]
-    heard_at: float
-    sequence: int = 0
-    is_stalled: bool = False
-
-
 class LinkHost(abc.ABC):
     """What a link needs of the table that it belongs to."""
 
@@ -64,6 +43,11 @@
     def clock(self) -> clock.Clock:
         """Tells the time."""
 
+    @property
+    @abc.abstractmethod
+    def late_seconds(self) -> float:
+        """How long an agent may be silent before it is suspect."""
+
     @abc.abstractmethod
     def dial(self, address: str) -> connection.Connection:
         """Return a new connection to an agent.
@@ -110,12 +94,13 @@
         self._table = table
         self._connections: list[connection.Connection] = []
         self._watches: set[asyncio.Task[None]] = set()
-        self._state: AgentState | None = None
+        self._state: agent_state.AgentState | None = None
         self._is_listed_leaving = False
         self._is_chosen = True
         self._asked_at = -IDLE_SECONDS
         self._unusable_since: float | None = table.clock.monotonic()
         self._failed_at = -SUSPECT_SECONDS
+        self._progress_at = 0.0
         self._has_heard = alarm.Alarm()
         self._probe: asyncio.Future[bool] | None = None
         self._keeper = asyncio.ensure_future(self._keep_connected())
@@ -126,7 +111,7 @@
         return self._address
 
     @property
-    def state(self) -> AgentState | None:
+    def state(self) -> agent_state.AgentState | None:
         """The agent's state as last heard; None before the first time."""
         return self._state
 
@@ -148,12 +133,13 @@
 
     @property
     def is_suspect(self) -> bool:
-        """Whether the agent failed or was silent lately."""
+        """Whether the agent failed, is late or sends no answers on."""
         now = self._table.clock.monotonic()
         heard_at = self._state.heard_at if self._state else 0.0
         return (
-            now - self._failed_at < SUSPECT_SECONDS
-            or now - heard_at > SUSPECT_SECONDS
+            (self.in_flight > 0 and now - self._progress_at > STALL_SECONDS)
+            or now - self._failed_at < SUSPECT_SECONDS
+            or now - heard_at > self._table.late_seconds
             or (self._state is not None and self._state.is_stalled)
         )
 
@@ -204,6 +190,10 @@
         """Note that an attempt failed at the agent."""
         self._failed_at = self._table.clock.monotonic()
 
+    def note_progress(self) -> None:
+        """Note that the agent sent a part of an answer."""
+        self._progress_at = self._table.clock.monotonic()
+
     def note_draining(self) -> None:
         """Note that the agent refused since it is draining."""
         if self._state is not None:
@@ -215,6 +205,8 @@
         :param attempt: the attempt.
         :raises errors.PeerError: it could not be sent.
         """
+        if self.in_flight == 0:
+            self.note_progress()
         return await self._pick_connection().open_run(attempt)
 
     async def is_alive(self) -> bool:
@@ -287,22 +279,8 @@
     def _take_heartbeat(
         self, source: connection.Connection, message: wire_pb2.Heartbeat
     ) -> None:
-        self._state = AgentState(
-            message.instance,
-            message.endpoint,
-            message.data_centre,
-            message.configuration_offset,
-            message.draining,
-            message.running,
-            message.queued,
-            message.slots,
-            frozenset(
-                configuration.ModelVersion(v.model, v.version)
-                for v in message.loaded
-            ),
-            self._table.clock.monotonic(),
-            message.sequence,
-            message.stalled,
+        self._state = agent_state.decode_state(
+            message, self.in_flight, self._table.clock.monotonic()
         )
         self._has_heard.ring()
         self._table.take_heartbeat(self, source, message)
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -1,53 +1,36 @@
 """Sends attempts to endpoints, resumes and retries them."""
 
 import asyncio
-import collections.abc
 import dataclasses
 import random
 
 import expression
 
 from wagtailstream_core import (
+    admission,
     assembly,
-    bundle,
     clock,
-    configuration,
     errors,
-    limits,
+    retries,
     routing,
+    wire_codec,
     work,
 )
 from wagtailstream_entry import (
     agent_link,
+    agent_state,
     connection,
     exchange,
+    hedge,
+    job,
     links,
     quarantine,
+    target,
 )
 from wagtailstream_platform import metrics
 
 STEP = "dispatch"
-MAX_ATTEMPTS = 5
 RETRY_SECONDS = 2.0
-RETRY_SHARE = 0.2
-RETRY_BURST = 20.0
-RETRY_RATE_FLOOR = 1.0
-
-RETRIABLE = frozenset(
-    {
-        errors.Reason.AGENT_BEHIND,
-        errors.Reason.BILLING_FULL,
-        errors.Reason.CLAIM_ABANDONED,
-        errors.Reason.CUT_OFF,
-        errors.Reason.DRAINING,
-        errors.Reason.ENDPOINT_FAILED,
-        errors.Reason.ENDPOINT_FULL,
-        errors.Reason.ENDPOINT_LOST,
-        errors.Reason.ENDPOINT_STALLED,
-        errors.Reason.NO_CONFIGURATION,
-        errors.Reason.NOT_LOADED,
-    }
-)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -63,43 +46,7 @@
 
 
 Outcome = expression.Result[Completed, errors.Refusal]
-WorkMaker = collections.abc.Callable[[int], work.ModelWork | work.ServiceWork]
-
-
-class RetryBudget:
-    """Bounds retries to a share of each customer's traffic.
-
-    :param system_clock: tells the time.
-    """
-
-    def __init__(self, system_clock: clock.Clock) -> None:
-        self._clock = system_clock
-        self._buckets: dict[str, limits.TokenBucket] = {}
-
-    def note_request(self, customer: str) -> None:
-        """Add a request's share to its customer's budget.
-
-        :param customer: the customer's name.
-        """
-        bucket = self._find(customer)
-        bucket.tokens = min(bucket.capacity, bucket.tokens + RETRY_SHARE)
-
-    def take(self, customer: str) -> bool:
-        """Take a retry from a customer's budget, if there is one.
-
-        :param customer: the customer's name.
-        """
-        return self._find(customer).take(self._clock.monotonic())
-
-    def _find(self, customer: str) -> limits.TokenBucket:
-        if customer not in self._buckets:
-            self._buckets[customer] = limits.TokenBucket(
-                RETRY_RATE_FLOOR,
-                RETRY_BURST,
-                RETRY_BURST,
-                self._clock.monotonic(),
-            )
-        return self._buckets[customer]
+Answer = wire_codec.Answer
 
 
 class Dispatcher:
@@ -130,8 +77,9 @@
         self._rng = rng
         self._metrics = counters
         self._peer = peer
+        self._budget = retries.Budget(retries.RETRY_SHARE)
+        self._hedger = hedge.Hedger(system_clock)
         self._quarantine = quarantined
-        self._budget = RetryBudget(system_clock)
 
     @property
     def table(self) -> links.LinkTable:
@@ -141,64 +89,66 @@
     async def run(
         self,
         request: exchange.Exchange,
-        target: "Target",
-        make_work: WorkMaker,
+        work_target: target.Target,
+        make_work: job.WorkMaker,
         sink: exchange.AnswerSink,
     ) -> Outcome:
         """Run a piece of work and return its end or its refusal.
 
         :param request: the request.
-        :param target: where the work may run.
+        :param work_target: where the work may run.
         :param make_work: returns the work from a position on.
         :param sink: takes the answer.
         """
-        job = _Job(request, target, make_work, sink)
-        self._budget.note_request(job.customer)
+        item = job.Job(request, work_target, make_work, sink)
+        self._budget.note_request(item.customer, self._clock.monotonic())
+        self._hedger.note_request(item)
         while True:
-            outcome = await self._try_once(job)
+            outcome = await self._try_once(item)
             if outcome.is_ok():
                 return outcome
-            if not self._may_retry(job, outcome.error):
-                return expression.Error(job.finish_refusal(outcome.error))
+            if not self._may_retry(item, outcome.error):
+                return expression.Error(item.finish_refusal(outcome.error))
             self._metrics.count(
                 metrics.Metric.RETRIED, outcome.error.reason.value
             )
 
-    def _may_retry(self, job: "_Job", refusal: errors.Refusal) -> bool:
-        if refusal.reason not in RETRIABLE or refusal is job.exhausted:
+    def _may_retry(self, item: job.Job, refusal: errors.Refusal) -> bool:
+        failed = retries.Failed(refusal, item.attempts, item.request.deadline)
+        if refusal is item.exhausted or not retries.is_worth_retrying(
+            failed, self._clock.wall()
+        ):
             return False
-        if job.attempts >= MAX_ATTEMPTS:
-            return False
-        if self._clock.wall() >= job.request.deadline:
-            return False
-        return self._budget.take(job.customer)
+        if self._budget.take(item.customer, self._clock.monotonic()):
+            return True
+        self._metrics.count(metrics.Metric.RETRY_DENIED, refusal.reason.value)
+        return False
 
-    async def _try_once(self, job: "_Job") -> Outcome:
-        refusal = self._quarantine.check(job.digest)
+    async def _try_once(self, item: job.Job) -> Outcome:
+        refusal = self._quarantine.check(item.digest)
         if refusal is not None:
             return expression.Error(refusal)
-        link = self._choose(job)
+        link = self._choose(item)
         if link is None:
-            job.exhausted = job.last_refusal or self._refuse_none()
-            return expression.Error(job.exhausted)
-        job.attempts += 1
+            item.exhausted = item.last_refusal or self._refuse_unsent(item)
+            return expression.Error(item.exhausted)
         try:
-            outcome = await self._attempt(job, link)
+            leg = await self._open(item, link)
         except errors.PeerError as error:
-            refused = await self._describe_failure(job, link, error)
-            outcome = expression.Error(refused)
-        if outcome.is_error():
-            await self._note_refused(job, link, outcome.error)
-        return outcome
+            refusal = await self._describe_failure(link, error)
+            await self._note_refused(item, link, refusal)
+            return expression.Error(refusal)
+        return await self._attempt(item, [leg])
 
     async def _describe_failure(
-        self, job: "_Job", link: agent_link.AgentLink, error: errors.PeerError
+        self,
+        link: agent_link.AgentLink,
+        error: errors.PeerError,
+        was_accepted: bool = False,
     ) -> errors.Refusal:
         was_sent = not isinstance(error, connection.NotSentError)
         is_lost = (
-            job.is_accepted
-            and not link.is_draining
-            and not await link.is_alive()
+            was_accepted and not link.is_draining and not await link.is_alive()
         )
         return errors.Refusal(
             errors.Reason.ENDPOINT_LOST
@@ -211,7 +161,15 @@
             self._clock.wall() + RETRY_SECONDS,
         )
 
-    def _refuse_none(self) -> errors.Refusal:
+    def _refuse_unsent(self, item: job.Job) -> errors.Refusal:
+        if item.late is not None:
+            return errors.not_run(
+                errors.Reason.DEADLINE_UNREACHABLE,
+                "no endpoint can answer by the deadline",
+                STEP,
+                self._peer,
+                item.late.retry_at,
+            )
         return errors.not_run(
             errors.Reason.NO_ENDPOINT,
             "no endpoint can take the request now",
@@ -220,14 +178,15 @@
             self._clock.wall() + RETRY_SECONDS,
         )
 
-    def _choose(self, job: "_Job") -> agent_link.AgentLink | None:
+    def _choose(self, item: job.Job) -> agent_link.AgentLink | None:
         by_endpoint = {
             link.state.endpoint: link
             for link in self._table.list_links()
             if link.state is not None
-            and link.address not in job.tried
+            and link.address not in item.tried
             and link.is_usable
-            and job.target.admits(link.state)
+            and item.target.admits(link.state)
+            and self._is_in_time(item, link.state)
         }
         candidates = [
             self._make_candidate(link, link.state)
@@ -235,58 +194,168 @@
             if link.state is not None
         ]
         chosen = routing.choose_endpoint(
-            candidates, job.target.prefix_hash, self._rng
+            candidates, item.target.prefix_hash, self._rng
         )
         return by_endpoint[chosen] if chosen is not None else None
 
+    def _is_in_time(
+        self, item: job.Job, state: agent_state.AgentState
+    ) -> bool:
+        """Return whether an endpoint can probably answer by the deadline."""
+        late = admission.check_deadline(
+            target.make_occupancy(state, item.priority),
+            item.request.deadline,
+            self._clock.wall(),
+            self._rng,
+        )
+        if late is not None:
+            item.note_late(late)
+        return late is None
+
     def _make_candidate(
-        self, link: agent_link.AgentLink, state: agent_link.AgentState
+        self, link: agent_link.AgentLink, state: agent_state.AgentState
     ) -> routing.Candidate:
         return routing.Candidate(
             state.endpoint,
             state.running + state.queued,
             link.in_flight,
+            state.own_in_flight,
             state.slots,
             state.data_centre == self._data_centre,
             link.is_suspect,
+            state.is_draining,
         )
 
-    async def _attempt(
-        self, job: "_Job", link: agent_link.AgentLink
-    ) -> Outcome:
-        request = job.request
+    async def _open(
+        self, item: job.Job, link: agent_link.AgentLink
+    ) -> hedge.Leg:
+        """Send an attempt to an agent.
+
+        :raises errors.PeerError: it could not be sent.
+        """
+        request = item.request
         number = request.next_attempt()
-        position = job.assembler.start_attempt(number)
-        if position:
-            self._metrics.count(metrics.Metric.RESUMED)
+        item.attempts += 1
+        item.unresolved += 1
         attempt = work.Attempt(
             request.request_id,
             number,
-            job.customer,
+            item.customer,
             self._table.follower.state.offset,
             request.deadline,
-            request.customer.priority if request.customer else 0,
-            job.make_work(position),
-            self._quarantine.is_suspect(job.digest),
+            item.priority,
+            item.make_work(item.assembler.position),
+            self._quarantine.is_suspect(item.digest),
         )
-        job.is_accepted = False
-        job.unresolved += 1
         run = await link.open_run(attempt)
+        return hedge.Leg(link, run, number, self._clock.monotonic())
+
+    async def _attempt(self, item: job.Job, legs: list[hedge.Leg]) -> Outcome:
+        """Run an attempt that was sent; it may be joined by a hedge."""
+        remaining = item.request.deadline - self._clock.wall()
+        outcome: Outcome = expression.Error(self._refuse_late())
         try:
-            async with asyncio.timeout(
-                max(0.0, request.deadline - self._clock.wall())
-            ):
-                outcome = await self._receive(job, link, run)
+            async with asyncio.timeout(max(0.0, remaining)):
+                outcome = await self._race(item, legs)
         except TimeoutError:
-            await run.close()
-            return expression.Error(self._refuse_late())
-        except BaseException:
-            await run.close()
-            raise
-        if outcome.is_error():
-            await run.close()
+            item.last_refusal = outcome.error
+        finally:
+            kept = outcome.ok.run if outcome.is_ok() else None
+            for leg in legs:
+                if leg.run is not kept:
+                    await leg.run.close()
         return outcome
 
+    async def _race(self, item: job.Job, legs: list[hedge.Leg]) -> Outcome:
+        first = legs[0]
+        delay = self._hedger.find_delay(item)
+        # What may crash endpoints is not sent to two at once.
+        if delay is None or self._quarantine.is_suspect(item.digest):
+            answer = await self._next_piece(item, first)
+            return await self._receive(item, first, first, answer)
+        racing = {self._start_leg(item, first): first}
+        try:
+            await asyncio.wait(racing, timeout=delay)
+            if not any(task.done() for task in racing):
+                await self._add_hedge(item, legs, racing)
+            leg, answer = await self._pick_winner(item, racing)
+        finally:
+            for task in racing:
+                task.cancel()
+        return await self._receive(item, first, leg, answer)
+
+    def _start_leg(
+        self, item: job.Job, leg: hedge.Leg
+    ) -> "asyncio.Task[Answer]":
+        return asyncio.ensure_future(self._next_piece(item, leg))
+
+    async def _add_hedge(
+        self,
+        item: job.Job,
+        legs: list[hedge.Leg],
+        racing: "dict[asyncio.Task[Answer], hedge.Leg]",
+    ) -> None:
+        """Send a second attempt elsewhere if that helps and may be done."""
+        item.tried.add(legs[0].link.address)
+        link = self._choose(item)
+        item.tried.discard(legs[0].link.address)
+        if link is None or link.state is None:
+            return
+        candidate = self._make_candidate(link, link.state)
+        if not self._hedger.may_send(item, candidate):
+            return
+        self._metrics.count(metrics.Metric.HEDGED)
+        try:
+            leg = await self._open(item, link)
+        except errors.PeerError as error:
+            refusal = await self._describe_failure(link, error)
+            await self._note_refused(item, link, refusal)
+            return
+        legs.append(leg)
+        racing[self._start_leg(item, leg)] = leg
+
+    async def _pick_winner(
+        self,
+        item: job.Job,
+        racing: "dict[asyncio.Task[Answer], hedge.Leg]",
+    ) -> tuple[hedge.Leg, Answer]:
+        """Return the leg whose piece came first, or the last to fail."""
+        while True:
+            done, _ = await asyncio.wait(
+                racing, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                leg = racing.pop(task)
+                answer = task.result()
+                if not racing or not isinstance(answer, work.Refused):
+                    return leg, answer
+                await self._note_refused(item, leg.link, answer.refusal)
+
+    async def _next_piece(self, item: job.Job, leg: hedge.Leg) -> Answer:
+        """Return the first answer that decides something."""
+        while True:
+            answer = await self._next_answer(leg)
+            if not isinstance(answer, work.Accepted):
+                return answer
+            leg.is_accepted = True
+            self._catch_up(leg.link, answer.configuration_offset)
+
+    async def _next_answer(self, leg: hedge.Leg) -> Answer:
+        try:
+            answer = await leg.run.next_answer()
+        except errors.PeerError as error:
+            return await self._fail(leg, error)
+        leg.link.note_progress()
+        return answer
+
+    async def _fail(
+        self, leg: hedge.Leg, error: errors.PeerError
+    ) -> work.Refused:
+        refusal = await self._describe_failure(
+            leg.link, error, leg.is_accepted
+        )
+        return work.Refused(refusal, -1)
+
     def _refuse_late(self) -> errors.Refusal:
         return errors.Refusal(
             errors.Reason.DEADLINE_PAST,
@@ -297,35 +366,44 @@
         )
 
     async def _receive(
-        self, job: "_Job", link: agent_link.AgentLink, run: connection.Run
+        self,
+        item: job.Job,
+        first: hedge.Leg,
+        leg: hedge.Leg,
+        answer: Answer,
     ) -> Outcome:
+        """Take in a leg's answer to its end, from its first piece on."""
+        if item.assembler.start_attempt(leg.number):
+            self._metrics.count(metrics.Metric.RESUMED)
+        if isinstance(answer, assembly.Chunk):
+            self._hedger.note_first(item, first)
+        self._note_endpoint(item, leg)
         ended: work.Ended | None = None
-        while True:
-            answer = await run.next_answer()
-            match answer:
-                case work.Accepted():
-                    job.is_accepted = True
-                    await self._note_accepted(job, link, answer)
-                case assembly.Chunk():
-                    await job.write(job.assembler.add(answer), self._clock)
-                case work.Ended():
+        while not isinstance(answer, work.Refused):
+            try:
+                if isinstance(answer, assembly.Chunk):
+                    pieces = item.assembler.add(answer)
+                    await item.write(pieces, self._clock)
+                elif isinstance(answer, work.Ended):
                     ended = answer
-                    job.finish(answer)
-                case work.Refused():
-                    self._catch_up(link, answer.configuration_offset)
-                    return expression.Error(answer.refusal)
-            if ended is not None and job.assembler.is_complete:
-                endpoint = link.state.endpoint if link.state else ""
-                self._quarantine.note_answer(job.digest)
-                return expression.Ok(Completed(ended, run, endpoint))
-
-    async def _note_accepted(
-        self, job: "_Job", link: agent_link.AgentLink, accepted: work.Accepted
-    ) -> None:
-        self._catch_up(link, accepted.configuration_offset)
-        if link.state is not None:
-            job.request.origin = dataclasses.replace(
-                job.request.origin, endpoint=link.state.endpoint
+                    item.finish(answer)
+            except errors.PeerError as error:
+                answer = await self._fail(leg, error)
+                break
+            if ended is not None and item.assembler.is_complete:
+                self._quarantine.note_answer(item.digest)
+                return expression.Ok(
+                    Completed(ended, leg.run, item.request.origin.endpoint)
+                )
+            answer = await self._next_answer(leg)
+        self._catch_up(leg.link, answer.configuration_offset)
+        await self._note_refused(item, leg.link, answer.refusal)
+        return expression.Error(answer.refusal)
+
+    def _note_endpoint(self, item: job.Job, leg: hedge.Leg) -> None:
+        if leg.link.state is not None:
+            item.request.origin = dataclasses.replace(
+                item.request.origin, endpoint=leg.link.state.endpoint
             )
 
     def _catch_up(self, link: agent_link.AgentLink, offset: int) -> None:
@@ -333,11 +411,14 @@
             self._table.spawn(link.pull_configuration())
 
     async def _note_refused(
-        self, job: "_Job", link: agent_link.AgentLink, refusal: errors.Refusal
+        self,
+        item: job.Job,
+        link: agent_link.AgentLink,
+        refusal: errors.Refusal,
     ) -> None:
-        job.last_refusal = refusal
+        item.last_refusal = refusal
         if refusal.outcome is errors.Outcome.NOT_RUN:
-            job.unresolved -= 1
+            item.unresolved -= 1
         match refusal.reason:
             case errors.Reason.AGENT_BEHIND:
                 if await link.push_configuration():
@@ -351,138 +432,5 @@
             case errors.Reason.ENDPOINT_LOST:
                 link.note_failure()
                 endpoint = link.state.endpoint if link.state else ""
-                await self._quarantine.note_death(job.digest, endpoint)
-        job.tried.add(link.address)
-
-
-@dataclasses.dataclass(frozen=True)
-class Target:
-    """Where a piece of work may run.
-
-    :param endpoints: the names of the endpoints that the bundle allows.
-    :param version: the version that must be loaded; None for a service.
-    """
-
-    endpoints: frozenset[str]
-    version: configuration.ModelVersion | None
-    prefix_hash: int
-
-    def admits(self, state: agent_link.AgentState) -> bool:
-        """Return whether an agent's endpoint may take the work.
-
-        :param state: the agent's state.
-        """
-        if state.endpoint not in self.endpoints:
-            return False
-        return self.version is None or self.version in state.loaded
-
-
-def find_model_endpoints(
-    known: bundle.Bundle, allowance: bundle.Allowance
-) -> frozenset[str]:
-    """Return the endpoints on which a customer may use a model.
-
-    :param known: the bundle in force.
-    :param allowance: the customer's allowance for the model.
-    """
-    return frozenset(
-        endpoint.name
-        for endpoint in known.endpoints
-        if allowance.model in endpoint.models
-        and (
-            not allowance.data_centres
-            or endpoint.data_centre in allowance.data_centres
-        )
-    )
-
-
-def find_service_endpoints(
-    known: bundle.Bundle, service: str
-) -> frozenset[str]:
-    """Return the endpoints of a plain service.
-
-    :param known: the bundle in force.
-    :param service: the service's name.
-    """
-    return frozenset(
-        endpoint.name
-        for endpoint in known.endpoints
-        if endpoint.service == service
-    )
-
-
-class _Job:
-    """The state of one piece of work over its attempts."""
-
-    def __init__(
-        self,
-        request: exchange.Exchange,
-        target: Target,
-        make_work: WorkMaker,
-        sink: exchange.AnswerSink,
-    ) -> None:
-        self.request = request
-        self.target = target
-        self.make_work = make_work
-        self.assembler = assembly.Assembler(request.request_id)
-        self.tried: set[str] = set()
-        self.attempts = 0
-        self.digest = work.digest(make_work(0))
-        # Whether the present attempt's agent said that it dispatches it.
-        self.is_accepted = False
-        # Attempts of which it is not known that they did not run.
-        self.unresolved = 0
-        self.last_refusal: errors.Refusal | None = None
-        self.exhausted: errors.Refusal | None = None
-        self._sink = sink
-        self._has_started = False
-
-    @property
-    def has_started(self) -> bool:
-        """Whether a piece of the answer was passed on."""
-        return self._has_started
-
-    @property
-    def customer(self) -> str:
-        """The customer's name."""
-        return self.request.customer.name if self.request.customer else ""
-
-    def finish_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
-        """Return the final refusal: never "not run" if an attempt may have.
-
-        :param refusal: the last attempt's refusal.
-        """
-        if self.unresolved == 0:
-            return refusal
-        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
-
-    async def write(
-        self, pieces: collections.abc.Sequence[bytes], now: clock.Clock
-    ) -> None:
-        """Pass pieces on to the sink.
-
-        :param pieces: in order, each once.
-        :param now: tells when the first came.
-        """
-        if pieces and not self._has_started:
-            self._has_started = True
-            self.request.first_token_at = now.wall()
-            await self._sink.start(self.request)
-        for piece in pieces:
-            await self._sink.write(piece)
-
-    def finish(self, ended: work.Ended) -> None:
-        """Take in the end mark.
-
-        :param ended: the end mark.
-        """
-        self.request.status = ended.status
-        self.request.costs.append(ended.cost)
-        self.assembler.finish(
-            assembly.EndMark(
-                self.request.request_id,
-                ended.cost.attempt,
-                ended.count,
-                ended.digest,
-            )
-        )
+                await self._quarantine.note_death(item.digest, endpoint)
+        item.tried.add(link.address)
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -17,10 +17,13 @@
     wire_codec,
     wire_pb2,
 )
-from wagtailstream_entry import agent_link, connection, link_choice
+from wagtailstream_entry import agent_link, connection, limit, link_choice
 from wagtailstream_platform import auth, follower, instance_list
 
 FORGET_SECONDS = 30.0
+# Heartbeats that may be missed before an endpoint is suspect.
+LATE_HEARTBEATS = 2.0
+HEARTBEAT_SLACK_SECONDS = 0.1
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -37,8 +40,8 @@
     max_links: int
 
 
-class LinkTable(agent_link.LinkHost):
-    """The links to all agents.
+class LinkTable(agent_link.LinkHost, limit.Peers):
+    """The links to all agents, and what they tell of other entries.
 
     :param instances: the platform's list.
     :param config_follower: holds the configuration in force.
@@ -87,6 +90,12 @@
         """Tells the time."""
         return self._clock
 
+    @property
+    def late_seconds(self) -> float:
+        """How long an agent may be silent before it is suspect."""
+        interval = self._watch_settings.interval_seconds
+        return LATE_HEARTBEATS * interval + HEARTBEAT_SLACK_SECONDS
+
     def dial(self, address: str) -> connection.Connection:
         """Return a new connection to an agent.
 
@@ -118,6 +127,21 @@
         """How many live entries the platform lists."""
         return self._entry_count
 
+    def find_others_rate(self, customer: str) -> float | None:
+        """Return what a customer asks of all others, or None if unheard.
+
+        Agents may hear from different entries; the largest sum counts.
+
+        :param customer: the customer's name.
+        """
+        oldest = self._clock.monotonic() - connection.SILENCE_SECONDS
+        rates = [
+            link.state.others_rates.get(customer, 0.0)
+            for link in self._links.values()
+            if link.state is not None and link.state.heard_at >= oldest
+        ]
+        return max(rates, default=None)
+
     def list_links(self) -> collections.abc.Collection[agent_link.AgentLink]:
         """Return all links."""
         return self._links.values()
--- a/tests/agent/test_slots.py
+++ b/tests/agent/test_slots.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import random
 
 import hypothesis
 import pytest
@@ -65,14 +66,14 @@
 
 async def play(steps: collections.abc.Sequence[Step], count: int) -> None:
     """Apply the same steps to both and compare after each."""
-    real, naive = slots.Slots(count, 100), NaiveSlots(count)
-    tasks: dict[int, asyncio.Task[None]] = {}
+    real, naive = make_slots(count, 100), NaiveSlots(count)
+    tasks: dict[int, asyncio.Task[slots.Verdict]] = {}
     for kind, number, is_suspect in steps:
         if kind == "acquire":
             holder = Holder(len(naive.holders), number, is_suspect)
             naive.holders.append(holder)
             tasks[holder.order] = asyncio.ensure_future(
-                real.acquire(number, is_suspect)
+                real.acquire(make_applicant("c", number, 30.0, is_suspect))
             )
             await asyncio.sleep(0)
         else:
@@ -99,7 +100,7 @@
     number: int,
     real: slots.Slots,
     naive: NaiveSlots,
-    tasks: dict[int, "asyncio.Task[None]"],
+    tasks: dict[int, "asyncio.Task[slots.Verdict]"],
 ) -> None:
     """End, cancel or clear one of the attempts, if there is one."""
     state = "waiting" if kind == "cancel" else "running"
@@ -118,7 +119,7 @@
         real.end_trial()
     if kind == "release":
         holder.state = "over"
-        real.release()
+        real.release(0.0)
 
 
 @SETTINGS
@@ -131,16 +132,18 @@
 
 @pytest.mark.asyncio
 async def test_cancelled_while_being_admitted_gives_all_back() -> None:
-    real = slots.Slots(1, 10)
-    await real.acquire(0, True)
-    waiting = asyncio.ensure_future(real.acquire(0, True))
+    real = make_slots(1, 10)
+    await real.acquire(make_applicant(is_suspect=True))
+    waiting = asyncio.ensure_future(
+        real.acquire(make_applicant(is_suspect=True))
+    )
     await asyncio.sleep(0)
     real.end_trial()
-    real.release()
+    real.release(0.0)
     waiting.cancel()
     await asyncio.gather(waiting, return_exceptions=True)
     assert real.running == 0
-    await asyncio.wait_for(real.acquire(0, True), 1.0)
+    await asyncio.wait_for(real.acquire(make_applicant(is_suspect=True)), 1.0)
 
 
 def make_attempt(name: str, is_suspect: bool) -> work.Attempt:
@@ -158,7 +161,7 @@
 
 def test_death_is_laid_on_the_suspect_on_trial_alone() -> None:
     manual = clock.ManualClock(100.0)
-    room = trial.TrialRoom(slots.Slots(4, 4), manual)
+    room = trial.TrialRoom(make_slots(4, 4), manual)
     suspect, neighbour = make_attempt("s", True), make_attempt("n", False)
     room.enter(suspect)
     assert not room.judge_death(neighbour)
@@ -168,3 +171,92 @@
     assert not room.judge_death(neighbour)
     manual.advance(strikes.SAME_DEATH_SECONDS + 1.0)
     assert room.judge_death(neighbour)
+
+
+def make_slots(count: int = 1, queue: int = 2) -> slots.Slots:
+    made = slots.Slots(count, queue, clock.SystemClock(), random.Random(1))
+    made.service_time.note(0.01)
+    return made
+
+
+def make_applicant(
+    customer: str = "buyer",
+    priority: int = 0,
+    seconds: float = 30.0,
+    is_suspect: bool = False,
+) -> slots.Applicant:
+    deadline = clock.SystemClock().wall() + seconds
+    return slots.Applicant(customer, priority, deadline, is_suspect)
+
+
+async def start(
+    endpoint_slots: slots.Slots, applicant: slots.Applicant
+) -> "asyncio.Task[slots.Verdict]":
+    task = asyncio.ensure_future(endpoint_slots.acquire(applicant))
+    await asyncio.sleep(0)
+    return task
+
+
+async def test_a_broker_finds_a_place_where_buyers_fill_the_queue():
+    # By the naive rule, whoever comes to a full queue is refused.
+    held = make_slots()
+    assert (await held.acquire(make_applicant())).is_ok()
+    buyers = [await start(held, make_applicant()) for _ in range(2)]
+    broker = await start(held, make_applicant("broker", 5))
+    rejection = (await buyers[1]).error
+    assert rejection.cause is slots.Cause.FULL
+    assert rejection.retry_at > clock.SystemClock().wall()
+    held.release(0.01)
+    assert (await broker).is_ok()
+    assert not buyers[0].done()
+    held.release(0.01)
+    assert (await buyers[0]).is_ok()
+
+
+async def test_a_request_that_would_be_late_is_refused_at_once():
+    held = make_slots(queue=64)
+    held.service_time.mean = 10.0
+    assert (await held.acquire(make_applicant())).is_ok()
+    verdict = await held.acquire(make_applicant(seconds=5.0))
+    assert verdict.error.cause is slots.Cause.LATE
+    assert held.queued == 0
+
+
+async def test_a_waiter_is_given_up_before_its_deadline():
+    held = make_slots()
+    assert (await held.acquire(make_applicant())).is_ok()
+    verdict = await held.acquire(make_applicant(seconds=0.05))
+    assert verdict.error.cause is slots.Cause.LATE
+    assert held.queued == 0
+
+
+@pytest.mark.parametrize("is_admitted", [True, False])
+async def test_cancelled_waiters_leave_no_slot_behind(is_admitted: bool):
+    held = make_slots()
+    assert (await held.acquire(make_applicant())).is_ok()
+    waiter = await start(held, make_applicant())
+    if is_admitted:
+        held.release(0.01)
+    waiter.cancel()
+    await asyncio.gather(waiter, return_exceptions=True)
+    assert held.queued == 0
+    assert held.running == (0 if is_admitted else 1)
+
+
+async def test_counts_waiters_by_priority():
+    held = make_slots(queue=8)
+    assert (await held.acquire(make_applicant())).is_ok()
+    waiting = [
+        await start(held, make_applicant(priority=rank)) for rank in (0, 5, 5)
+    ]
+    assert held.count_queued() == {0: 1, 5: 2}
+    for task in waiting:
+        task.cancel()
+
+
+async def test_more_slots_let_waiters_in():
+    held = make_slots()
+    assert (await held.acquire(make_applicant())).is_ok()
+    waiter = await start(held, make_applicant())
+    held.resize(2)
+    assert (await waiter).is_ok()
