--- /dev/null
+++ b/experiments/simulation.py
@@ -0,0 +1,50 @@
+"""A clock that jumps from event to event."""
+
+import collections.abc
+import heapq
+import itertools
+
+
+class Simulation:
+    """Runs callbacks in the order of their times."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._order = itertools.count()
+        self._events: list[
+            tuple[float, int, collections.abc.Callable[[], None]]
+        ] = []
+
+    @property
+    def now(self) -> float:
+        """Seconds since the start."""
+        return self._now
+
+    def at(self, time: float, act: collections.abc.Callable[[], None]) -> None:
+        """Run a callback at a time.
+
+        :param time: seconds since the start.
+        :param act: the callback.
+        """
+        event = (max(time, self._now), next(self._order), act)
+        heapq.heappush(self._events, event)
+
+    def after(
+        self, seconds: float, act: collections.abc.Callable[[], None]
+    ) -> None:
+        """Run a callback later.
+
+        :param seconds: from now.
+        :param act: the callback.
+        """
+        self.at(self._now + seconds, act)
+
+    def run(self, until: float) -> None:
+        """Run all events up to a time.
+
+        :param until: seconds since the start.
+        """
+        while self._events and self._events[0][0] <= until:
+            self._now, _, act = heapq.heappop(self._events)
+            act()
+        self._now = until
--- /dev/null
+++ b/experiments/workload.py
@@ -0,0 +1,201 @@
+"""Seeded workloads in the shapes of Kerlann and Gulfmark."""
+
+import dataclasses
+import random
+
+BROKER_PRIORITY = 10
+BUYER_PRIORITY = 0
+BURST_SECONDS = 5.0
+QUIET_SECONDS = 25.0
+BURST_FACTOR = 2.5
+
+
+@dataclasses.dataclass(frozen=True)
+class Request:
+    """A request as the decisions see it.
+
+    :param arrives_at: seconds since the start.
+    :param prefix: which shared prefix its prompt starts with.
+    :param prefix_tokens: the length of that prefix.
+    :param prompt_tokens: the whole prompt's length.
+    :param deadline: seconds since the start.
+    """
+
+    number: int
+    arrives_at: float
+    customer: str
+    session: int
+    prefix: int
+    prefix_tokens: int
+    prompt_tokens: int
+    output_tokens: int
+    priority: int
+    deadline: float
+
+
+@dataclasses.dataclass(frozen=True)
+class CallerClass:
+    """A kind of caller.
+
+    :param share: of all requests.
+    :param prefix_tokens: the mean length of a shared prefix.
+    :param own_tokens: the mean length of the rest of the prompt.
+    :param output_tokens: the mean length of the answer.
+    :param patience_seconds: from arrival to deadline.
+    """
+
+    name: str
+    share: float
+    priority: int
+    prefix_tokens: int
+    own_tokens: int
+    output_tokens: int
+    patience_seconds: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Shape:
+    """One user's deployment.
+
+    :param data_centres: how many.
+    :param engines: how many model servers.
+    :param customers: how many; the first ones are large.
+    :param prefixes_per_customer: templates, catalogs or dossiers in use.
+    :param turns: the mean number of requests in a session.
+    """
+
+    name: str
+    data_centres: int
+    engines: int
+    customers: int
+    prefixes_per_customer: int
+    turns: float
+    classes: tuple[CallerClass, ...]
+
+
+KERLANN = Shape(
+    "kerlann",
+    data_centres=3,
+    engines=5,
+    customers=10,
+    prefixes_per_customer=6,
+    turns=4.0,
+    classes=(
+        CallerClass("certificate", 0.5, 5, 1200, 300, 80, 20.0),
+        CallerClass("dossier", 0.2, 0, 800, 3000, 150, 60.0),
+        CallerClass("question", 0.3, 0, 600, 100, 60, 20.0),
+    ),
+)
+
+GULFMARK = Shape(
+    "gulfmark",
+    data_centres=3,
+    engines=6,
+    customers=10,
+    prefixes_per_customer=4,
+    turns=3.0,
+    classes=(
+        CallerClass("broker", 0.25, BROKER_PRIORITY, 500, 80, 30, 5.0),
+        CallerClass("letter", 0.35, BUYER_PRIORITY, 1500, 300, 160, 60.0),
+        CallerClass("compare", 0.40, BUYER_PRIORITY, 1500, 500, 90, 30.0),
+    ),
+)
+
+SHAPES = (KERLANN, GULFMARK)
+
+
+def make_customer_weights(count: int) -> list[float]:
+    """Return the traffic shares of customers, a few of them large.
+
+    :param count: how many customers.
+    """
+    raw = [1.0 / (rank + 1) for rank in range(count)]
+    return [weight / sum(raw) for weight in raw]
+
+
+def generate(
+    shape: Shape, rate: float, seconds: float, rng: random.Random
+) -> list[Request]:
+    """Return the requests of a while, in the order of arrival.
+
+    Bursts come at random and have ``BURST_FACTOR`` times the quiet rate; the
+    mean over a long time is the rate.
+
+    :param shape: whose traffic.
+    :param rate: mean requests a second.
+    :param seconds: how long.
+    :param rng: draws everything.
+    """
+    weights = make_customer_weights(shape.customers)
+    sessions = _Sessions(shape, rng)
+    requests = []
+    for number, time in enumerate(_draw_arrivals(rate, seconds, rng)):
+        customer = rng.choices(range(shape.customers), weights)[0]
+        kind = rng.choices(shape.classes, [c.share for c in shape.classes])[0]
+        session, prefix = sessions.draw(customer, kind.name)
+        requests.append(
+            Request(
+                number,
+                time,
+                f"customer-{customer}",
+                session,
+                prefix,
+                kind.prefix_tokens,
+                kind.prefix_tokens + _draw_length(kind.own_tokens, rng),
+                _draw_length(kind.output_tokens, rng),
+                kind.priority,
+                time + kind.patience_seconds,
+            )
+        )
+    return requests
+
+
+def _draw_length(mean: int, rng: random.Random) -> int:
+    return max(1, round(rng.lognormvariate(0.0, 0.6) * mean / 1.2))
+
+
+def _draw_arrivals(
+    rate: float, seconds: float, rng: random.Random
+) -> list[float]:
+    burst_share = BURST_SECONDS / (BURST_SECONDS + QUIET_SECONDS)
+    quiet_rate = rate / (1.0 + burst_share * (BURST_FACTOR - 1.0))
+    times: list[float] = []
+    now, is_burst = 0.0, False
+    phase_end = rng.expovariate(1.0 / QUIET_SECONDS)
+    while now < seconds:
+        current = quiet_rate * (BURST_FACTOR if is_burst else 1.0)
+        step = rng.expovariate(current)
+        if now + step > phase_end:
+            now = phase_end
+            is_burst = not is_burst
+            mean = BURST_SECONDS if is_burst else QUIET_SECONDS
+            phase_end = now + rng.expovariate(1.0 / mean)
+            continue
+        now += step
+        times.append(now)
+    return [time for time in times if time < seconds]
+
+
+class _Sessions:
+    """Draws sessions; each keeps its prefix."""
+
+    def __init__(self, shape: Shape, rng: random.Random) -> None:
+        self._shape = shape
+        self._rng = rng
+        self._count = 0
+        self._open: dict[tuple[int, str], tuple[int, int]] = {}
+
+    def draw(self, customer: int, kind: str) -> tuple[int, int]:
+        """Return the session and prefix of a customer's next request."""
+        key = (customer, kind)
+        if key in self._open and self._rng.random() > 1.0 / self._shape.turns:
+            return self._open[key]
+        self._count += 1
+        template = self._rng.randrange(self._shape.prefixes_per_customer)
+        prefix = hash((customer, _number(kind), template)) & 0xFFFFFFFF
+        self._open[key] = (self._count, prefix)
+        return self._open[key]
+
+
+def _number(kind: str) -> int:
+    return sum(ord(letter) << (index % 8) for index, letter in enumerate(kind))
