--- /dev/null
+++ b/experiments/bad_versions.py
@@ -0,0 +1,431 @@
+"""Exposure to a bad version and false stops, over many seeds."""
+
+import collections
+import collections.abc
+import dataclasses
+import math
+
+import numpy
+import numpy.typing
+
+from experiments import base
+from wagtailstream_core import bundle, configuration, suspension, tallies
+
+SEEDS = 20
+HEALTHY_SEEDS = 30
+NODES = 3
+REQUESTS_PER_SECOND = 20.0
+HEALTHY_QUALITY = 0.8
+FAILED_QUALITY = 0.05
+RATING_CONCENTRATION = 4.0
+STABLE_RATED_SHARE = 0.2
+PAST_ANSWERS = 4000
+# From the evidence to the last answer: judging, appending, telling all.
+STOP_SECONDS = 1.0
+OPERATOR_SECONDS = 600.0
+FIXED_WINDOW_ANSWERS = 50
+FIXED_THRESHOLD = 0.7
+COMMON_CAUSE_SECONDS = 60.0
+RUN_SECONDS = 1800.0
+
+Ratings = numpy.typing.NDArray[numpy.float64]
+
+STABLE = configuration.ModelVersion("drafter", "1")
+CANDIDATE = configuration.ModelVersion("drafter", "2")
+STATE = configuration.Configuration(
+    bundle=bundle.Bundle(
+        name="experiment",
+        data_centres=("rennes",),
+        models=(
+            bundle.ServedModel(
+                name="drafter", versions=("1", "2"), stable="1"
+            ),
+        ),
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Row(base.Row):
+    """What one way does about one kind of version.
+
+    :param exposure: mean answers by the version until its stop.
+    :param worst: the most over the seeds.
+    :param stops: the share of the seeds in which it was stopped.
+    """
+
+    version: str
+    stage: str
+    condition: str
+    seeds: int
+    exposure: float
+    worst: float
+    seconds: float
+    stops: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Quality:
+    """A kind of candidate version.
+
+    :param mean: its mean rating.
+    :param tick_seconds: the step of the simulation.
+    """
+
+    name: str
+    mean: float
+    tick_seconds: float
+
+
+QUALITIES = (
+    Quality("fails outright", FAILED_QUALITY, 0.25),
+    Quality("20 % worse", HEALTHY_QUALITY * 0.8, 2.0),
+    Quality("5 % worse", HEALTHY_QUALITY * 0.95, 4.0),
+    Quality("as good", HEALTHY_QUALITY, 4.0),
+)
+COMMON_CAUSE_QUALITY = Quality("as good", HEALTHY_QUALITY, 0.25)
+
+
+@dataclasses.dataclass(frozen=True)
+class Condition:
+    """Under which circumstances.
+
+    :param lag_seconds: how late counts reach the other nodes.
+    :param cut: how many nodes' counts never reach the others.
+    :param has_past: whether the stable version was rated before.
+    :param good_seconds: how long the candidate is good at first.
+    :param is_common: whether all answers are bad for a while.
+    :param garbled_share: of all answers, of both versions.
+    """
+
+    name: str
+    lag_seconds: float = 1.0
+    cut: int = 0
+    has_past: bool = True
+    good_seconds: float = 0.0
+    is_common: bool = False
+    garbled_share: float = 0.0
+    run_seconds: float = RUN_SECONDS
+
+
+PLAIN = Condition("plain")
+CONDITIONS = (
+    Condition("counts 10 s late", lag_seconds=10.0),
+    Condition("one node of 3 cut off", cut=1),
+    Condition("stable not rated yet", has_past=False),
+    Condition("1 % of all garbled", garbled_share=0.01),
+    Condition("turns bad after 10 min", good_seconds=600.0),
+)
+COMMON_CAUSE = Condition(
+    "all bad for 1 min", is_common=True, run_seconds=120.0
+)
+STAGES = (0.01, 0.1, 0.5, 1.0)
+MIDDLE_STAGE = 0.1
+
+
+@dataclasses.dataclass(frozen=True)
+class Case:
+    """A version at a stage under a condition."""
+
+    quality: Quality
+    stage: float
+    condition: Condition
+
+    @property
+    def seeds(self) -> int:
+        """Over how many seeds it is run."""
+        is_healthy = self.quality.mean == HEALTHY_QUALITY
+        return HEALTHY_SEEDS if is_healthy else SEEDS
+
+    def list_means(self, now: float) -> list[float]:
+        """Return the mean ratings of stable and candidate.
+
+        :param now: seconds since the start.
+        """
+        if self.condition.is_common and now < COMMON_CAUSE_SECONDS:
+            return [FAILED_QUALITY, FAILED_QUALITY]
+        if now < self.condition.good_seconds:
+            return [HEALTHY_QUALITY, HEALTHY_QUALITY]
+        return [HEALTHY_QUALITY, self.quality.mean]
+
+
+def list_cases() -> list[Case]:
+    """Return all cases."""
+    cases = [
+        Case(quality, stage, PLAIN)
+        for quality in QUALITIES
+        for stage in STAGES
+    ]
+    cases += [
+        Case(quality, MIDDLE_STAGE, condition)
+        for condition in CONDITIONS
+        for quality in QUALITIES
+    ]
+    cases += [
+        Case(COMMON_CAUSE_QUALITY, stage, COMMON_CAUSE) for stage in STAGES
+    ]
+    return cases
+
+
+@dataclasses.dataclass
+class Stop:
+    """When a way stopped the candidate.
+
+    :param exposure: answers that the candidate gave until then.
+    """
+
+    seconds: float
+    exposure: float
+
+
+class Run:
+    """All ways on the same traffic.
+
+    :param case: what is run.
+    :param seed: seeds the generator.
+    """
+
+    def __init__(self, case: Case, seed: int) -> None:
+        self._case = case
+        self._rng = numpy.random.default_rng(seed)
+        self._pooled = [suspension.Watch(f"n{n}") for n in range(NODES)]
+        self._single = [suspension.Watch(f"n{n}") for n in range(NODES)]
+        self._plain_sum = (0.0,) * len(suspension.DEGRADATIONS)
+        self._recent: collections.deque[float] = collections.deque(
+            maxlen=FIXED_WINDOW_ANSWERS
+        )
+        self._under_way: collections.deque[_Message] = collections.deque()
+        self._given = 0.0
+        self.stops: dict[str, Stop] = {}
+        if case.condition.has_past:
+            self._give_past()
+
+    def _give_past(self) -> None:
+        ratings = self._draw(HEALTHY_QUALITY, PAST_ANSWERS)
+        past = tallies.Tally("past", STABLE, -1, _count(ratings))
+        for watch in self._pooled + self._single:
+            watch.merge(STATE, [past], 0.0)
+
+    def run(self) -> None:
+        """Run until every way stopped or the time is over."""
+        step = self._case.quality.tick_seconds
+        start = self._case.condition.good_seconds
+        ticks = round((self._case.condition.run_seconds + start) / step)
+        for tick in range(ticks):
+            now = tick * step
+            if now < start:
+                self._given = 0.0
+            self._answer(now, step)
+            self._share(now)
+            for way in self._list_convinced(now + step):
+                self._note_stop(way, now + step - start)
+            if len(self.stops) == len(LEARNING_WAYS):
+                return
+
+    def _note_stop(self, way: str, seconds: float) -> None:
+        if way in self.stops:
+            return
+        rate = REQUESTS_PER_SECOND * self._case.stage
+        delay = STOP_SECONDS
+        self.stops[way] = Stop(seconds + delay, self._given + rate * delay)
+
+    def find_stop(self, way: str) -> Stop | None:
+        """Return when a way stopped the candidate, or None.
+
+        :param way: the way.
+        """
+        return self.stops.get(way)
+
+    @property
+    def given(self) -> float:
+        """Answers by the candidate so far."""
+        return self._given
+
+    def _answer(self, now: float, step: float) -> None:
+        stage = self._case.stage
+        means = self._case.list_means(now)
+        is_watchful = self._pooled[0].is_watchful(STABLE.model)
+        stable_share = 1.0 if is_watchful else STABLE_RATED_SHARE
+        rated_shares = ((1 - stage) * stable_share, stage)
+        for node in range(NODES):
+            for version, mean, share in zip(
+                (STABLE, CANDIDATE), means, rated_shares, strict=True
+            ):
+                rate = REQUESTS_PER_SECOND / NODES * share
+                number = int(self._rng.poisson(rate * step))
+                if number:
+                    self._rate(node, version, mean, number, now)
+
+    def _rate(
+        self,
+        node: int,
+        version: configuration.ModelVersion,
+        mean: float,
+        number: int,
+        now: float,
+    ) -> None:
+        ratings = self._draw(mean, number)
+        counts = _count(ratings)
+        for watches in (self._pooled, self._single):
+            watches[node].count(STATE, version, counts, now)
+        if version == CANDIDATE:
+            self._given += number
+            self._recent.extend(ratings.tolist())
+            self._plain_sum = suspension.add_evidence(
+                self._plain_sum, counts, self._find_reference(), -math.inf
+            )
+
+    def _draw(self, mean: float, number: int) -> Ratings:
+        concentration = RATING_CONCENTRATION
+        ratings = self._rng.beta(
+            mean * concentration, (1 - mean) * concentration, number
+        )
+        drawn = self._rng.random(number)
+        is_garbled = drawn < self._case.condition.garbled_share
+        ratings[is_garbled] = FAILED_QUALITY
+        return ratings
+
+    def _find_reference(self) -> tallies.Counts:
+        return self._pooled[0].tracks.get(STABLE, suspension.Track()).counts
+
+    def _share(self, now: float) -> None:
+        condition = self._case.condition
+        connected = self._pooled[condition.cut :]
+        for watch in connected:
+            sent = watch.list_shared(STATE, now)
+            self._under_way.append(_Message(now + condition.lag_seconds, sent))
+        while self._under_way and self._under_way[0].arrives_at <= now:
+            message = self._under_way.popleft()
+            for watch in connected:
+                watch.merge(STATE, message.tallies, now)
+
+    def _list_convinced(self, now: float) -> collections.abc.Iterator[str]:
+        if any(_suspends(watch) for watch in self._pooled):
+            yield POOLED
+        if any(_suspends(watch) for watch in self._single):
+            yield PER_NODE
+        if max(self._plain_sum) >= suspension.BOUND:
+            yield NO_RESET
+        is_full = len(self._recent) == FIXED_WINDOW_ANSWERS
+        mean = sum(self._recent) / max(1, len(self._recent))
+        if is_full and mean < FIXED_THRESHOLD:
+            yield FIXED
+
+
+def _count(ratings: Ratings) -> tallies.Counts:
+    units = len(ratings) * tallies.UNITS_PER_ANSWER
+    good = round(float(ratings.sum()) * tallies.UNITS_PER_ANSWER)
+    squares = float((ratings * ratings).sum()) * tallies.UNITS_PER_ANSWER
+    return tallies.Counts(good, units - good, round(squares))
+
+
+@dataclasses.dataclass(frozen=True)
+class _Message:
+    arrives_at: float
+    tallies: list[tallies.Tally]
+
+
+def _suspends(watch: suspension.Watch) -> bool:
+    return any(
+        finding.version == CANDIDATE
+        and finding.action is suspension.Action.SUSPEND
+        for finding in watch.judge(STATE)
+    )
+
+
+POOLED = "pooled, cumulative sums"
+NO_RESET = "pooled, one sum without reset"
+PER_NODE = "naive: per-node counts"
+FIXED = "naive: fixed threshold"
+OPERATOR = "naive: operator after 10 min"
+LEARNING_WAYS = (POOLED, NO_RESET, PER_NODE, FIXED)
+
+
+def measure(case: Case, seed: int) -> list[Row]:
+    """Return a row for each way in one case.
+
+    :param case: the case.
+    :param seed: the first of its seeds.
+    """
+    runs = [Run(case, seed * 1000 + number) for number in range(case.seeds)]
+    for run in runs:
+        run.run()
+    rows = [_make_row(case, way, runs) for way in LEARNING_WAYS]
+    if case.quality.mean < HEALTHY_QUALITY:
+        rows.append(_make_operator_row(case))
+    return rows
+
+
+def _make_operator_row(case: Case) -> Row:
+    """Return what happens where an operator acts at a fixed time."""
+    exposure = REQUESTS_PER_SECOND * case.stage * OPERATOR_SECONDS
+    return Row(
+        way=OPERATOR,
+        version=case.quality.name,
+        stage=f"{case.stage:.0%}",
+        condition=case.condition.name,
+        seeds=0,
+        exposure=exposure,
+        worst=exposure,
+        seconds=OPERATOR_SECONDS,
+        stops=1.0,
+    )
+
+
+def _make_row(case: Case, way: str, runs: list[Run]) -> Row:
+    stops = [run.find_stop(way) for run in runs]
+    exposures = [
+        stop.exposure if stop else run.given
+        for run, stop in zip(runs, stops, strict=True)
+    ]
+    seconds = [stop.seconds for stop in stops if stop]
+    return Row(
+        way=way,
+        version=case.quality.name,
+        stage=f"{case.stage:.0%}",
+        condition=case.condition.name,
+        seeds=case.seeds,
+        exposure=sum(exposures) / len(runs),
+        worst=max(exposures),
+        seconds=sum(seconds) / len(seconds) if seconds else 0.0,
+        stops=len(seconds) / len(runs),
+    )
+
+
+class BadVersions(base.Experiment):
+    """Answers by a bad version until its stop, and stops of a good one."""
+
+    @property
+    def name(self) -> str:
+        """The name for ``--only``."""
+        return "bad-versions"
+
+    @property
+    def charts(self) -> tuple[base.Chart, ...]:
+        """The charts of the rows."""
+        charts = [
+            base.Chart(
+                measure="exposure",
+                x="stage",
+                series="way",
+                unit="answers",
+                is_logarithmic=True,
+                where=(("version", name), ("condition", "plain")),
+            )
+            for name in ("fails outright", "20 % worse", "5 % worse")
+        ]
+        false_stops = base.Chart(
+            measure="stops",
+            x="stage",
+            series="way",
+            unit="share of seeds",
+            where=(("version", "as good"), ("condition", "plain")),
+        )
+        return (*charts, false_stops)
+
+    def run(self, seed: int) -> list[Row]:
+        """Run every way and return the rows.
+
+        :param seed: seeds all random generators.
+        """
+        return [row for case in list_cases() for row in measure(case, seed)]
--- /dev/null
+++ b/experiments/cascade_cost.py
@@ -0,0 +1,352 @@
+"""Cost at the quality target: largest, ladder, and learned from ratings."""
+
+import abc
+import collections
+import dataclasses
+import random
+
+from experiments import base, workload
+from wagtailstream_core import cascade
+
+SEEDS = 3
+REQUESTS = 12000
+REQUESTS_PER_SECOND = 20.0
+TARGET = 0.8
+CONCENTRATION = 6.0
+FEW_SAMPLED_SHARE = 0.2
+RATING_SECONDS = 0.1
+RATING_TIMEOUT_SECONDS = 1.0
+CUSTOMERS = 10
+MIN_KEY_REQUESTS = 100
+TOLERANCE = 0.01
+
+
+@dataclasses.dataclass(frozen=True)
+class Task:
+    """A kind of request, and how well each model does it.
+
+    :param small: the mean rating of the small model.
+    :param large: the mean rating of the large one.
+    """
+
+    name: str
+    small: float
+    large: float
+
+
+TASKS = (
+    Task("question", 0.92, 0.93),
+    Task("letter", 0.82, 0.90),
+    Task("compare", 0.65, 0.88),
+    Task("dossier", 0.30, 0.85),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Condition:
+    """What goes wrong.
+
+    :param miss_share: of the ratings that do not come in time.
+    :param is_down: whether no rating comes in the middle third.
+    :param has_drift: whether the small model does half as well from the
+        middle on.
+    """
+
+    name: str
+    price: float = 10.0
+    when_unrated: str = "largest"
+    miss_share: float = 0.0
+    is_down: bool = False
+    has_drift: bool = False
+
+
+CONDITIONS = (
+    Condition("plain"),
+    Condition("plain, large costs 3", price=3.0),
+    Condition("ratings slow (30 % missed)", miss_share=0.3),
+    Condition("ratings down, largest", is_down=True),
+    Condition("ratings down, accept", is_down=True, when_unrated="accept"),
+    Condition("small model turns bad", has_drift=True),
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Row(base.Row):
+    """What one way costs and gives.
+
+    :param cost: a request, where always the largest costs 1.
+    :param quality: the mean rating of the delivered answers.
+    :param keys_below: the share of customers' tasks below the target.
+    :param rated: ratings that a caller waited for, a request.
+    :param wait_ms: mean time that a caller waited for ratings.
+    """
+
+    condition: str
+    seeds: int
+    cost: float
+    quality: float
+    keys_below: float
+    rated: float
+    wait_ms: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Request:
+    customer: str
+    task: Task
+    now: float
+    small: float
+    large: float
+    is_missed: bool
+
+
+@dataclasses.dataclass
+class Delivery:
+    """What a request cost and got."""
+
+    cost: float = 0.0
+    quality: float = 0.0
+    ratings: int = 0
+    wait_seconds: float = 0.0
+
+
+class Way(abc.ABC):
+    """A way to use the ladder.
+
+    :param condition: the prices and what the bundle names.
+    """
+
+    name = ""
+
+    def __init__(self, condition: Condition, rng: random.Random) -> None:
+        self.condition = condition
+        self.rng = rng
+
+    @abc.abstractmethod
+    def deliver(self, request: _Request) -> Delivery:
+        """Return what a request costs and gets.
+
+        :param request: with the ratings that its answers would have.
+        """
+
+    def rate(
+        self, request: _Request, score: float, delivery: Delivery
+    ) -> float | None:
+        """Return a rating that the caller waits for, or None.
+
+        :param request: the request.
+        :param score: the rating that the answer deserves.
+        :param delivery: takes the wait.
+        """
+        delivery.ratings += 1
+        if request.is_missed:
+            delivery.wait_seconds += RATING_TIMEOUT_SECONDS
+            return None
+        delivery.wait_seconds += RATING_SECONDS
+        return score
+
+
+class AlwaysLargest(Way):
+    """Runs the large model alone."""
+
+    name = "naive: always largest"
+
+    def deliver(self, request: _Request) -> Delivery:
+        return Delivery(self.condition.price, request.large)
+
+
+class AlwaysLadder(Way):
+    """Tries the small model first and rates each answer."""
+
+    name = "naive: always ladder"
+
+    def deliver(self, request: _Request) -> Delivery:
+        delivery = Delivery(1.0, request.small)
+        score = self.rate(request, request.small, delivery)
+        if score is None and self.condition.when_unrated == "accept":
+            return delivery
+        if score is None or score < TARGET:
+            delivery.cost += self.condition.price
+            delivery.quality = request.large
+        return delivery
+
+
+class Learned(Way):
+    """Plans from the ratings so far."""
+
+    name = "learned, mean over answers"
+    is_bar_at_target = False
+    sampled_share = 1.0
+
+    def __init__(self, condition: Condition, rng: random.Random) -> None:
+        super().__init__(condition, rng)
+        self._memory = cascade.Memory()
+        self._rater = cascade.RaterState()
+        self._rungs = (
+            cascade.Rung("small", 1.0),
+            cascade.Rung("large", condition.price),
+        )
+
+    def deliver(self, request: _Request) -> Delivery:
+        delivery = Delivery()
+        keys = [
+            cascade.Key(request.customer, request.task.name, rung.model, "1")
+            for rung in self._rungs
+        ]
+        steps = cascade.plan(
+            self._rungs,
+            tuple(self._memory.find(key) for key in keys),
+            TARGET,
+            request.now,
+            self.rng,
+        )
+        is_tried = steps[0].model == "small"
+        if is_tried and self._try_small(request, steps[0], keys[0], delivery):
+            return delivery
+        delivery.cost += self.condition.price
+        delivery.quality = request.large
+        self._sample(request, keys[1], request.large)
+        return delivery
+
+    def _try_small(
+        self,
+        request: _Request,
+        step: cascade.Step,
+        key: cascade.Key,
+        delivery: Delivery,
+    ) -> bool:
+        """Return whether the small model's answer is delivered."""
+        accepts = self.condition.when_unrated == "accept"
+        is_paused = request.now < self._rater.ask_again_at
+        if step.mode is cascade.Mode.CHECK and is_paused and not accepts:
+            return False
+        delivery.cost += 1.0
+        delivery.quality = request.small
+        if step.mode is cascade.Mode.TRUST or is_paused:
+            self._sample(request, key, request.small)
+            return True
+        score = self.rate(request, request.small, delivery)
+        self._rater = cascade.note_answer(
+            self._rater, score is not None, request.now
+        )
+        if score is None:
+            return accepts
+        self._memory.add(key, score, request.now)
+        return score >= (TARGET if self.is_bar_at_target else step.bar)
+
+    def _sample(
+        self, request: _Request, key: cascade.Key, score: float
+    ) -> None:
+        if not request.is_missed and self.rng.random() < self.sampled_share:
+            self._memory.add(key, score, request.now)
+
+
+class LearnedAtTarget(Learned):
+    """Plans likewise, but each rated answer must reach the target."""
+
+    name = "learned, each answer"
+    is_bar_at_target = True
+
+
+class LearnedFewSamples(Learned):
+    """Plans likewise, from a fifth of the ratings off the path."""
+
+    name = "learned, mean, 20 % sampled"
+    sampled_share = FEW_SAMPLED_SHARE
+
+
+WAYS: tuple[type[Way], ...] = (
+    AlwaysLargest,
+    AlwaysLadder,
+    LearnedAtTarget,
+    LearnedFewSamples,
+    Learned,
+)
+
+
+def _draw_requests(condition: Condition, seed: int) -> list[_Request]:
+    rng = random.Random(seed)
+    weights = workload.make_customer_weights(CUSTOMERS)
+    requests = []
+    for number in range(REQUESTS):
+        task = rng.choice(TASKS)
+        is_drifted = condition.has_drift and number >= REQUESTS // 2
+        is_middle = REQUESTS // 3 <= number < 2 * REQUESTS // 3
+        is_down = condition.is_down and is_middle
+        requests.append(
+            _Request(
+                f"c{rng.choices(range(CUSTOMERS), weights)[0]}",
+                task,
+                number / REQUESTS_PER_SECOND,
+                _draw(rng, task.small * (0.5 if is_drifted else 1.0)),
+                _draw(rng, task.large),
+                is_down or rng.random() < condition.miss_share,
+            )
+        )
+    return requests
+
+
+def _draw(rng: random.Random, mean: float) -> float:
+    return rng.betavariate(mean * CONCENTRATION, (1 - mean) * CONCENTRATION)
+
+
+def measure(condition: Condition, kind: type[Way], seed: int) -> Row:
+    """Return one way's row.
+
+    :param condition: what goes wrong.
+    :param kind: the way.
+    :param seed: the first seed.
+    """
+    delivered: list[Delivery] = []
+    below: list[bool] = []
+    for number in range(SEEDS):
+        way = kind(condition, random.Random(seed * 1000 + number))
+        by_key = collections.defaultdict(list)
+        for request in _draw_requests(condition, seed * 1000 + number):
+            delivery = way.deliver(request)
+            delivered.append(delivery)
+            by_key[request.customer, request.task].append(delivery.quality)
+        below += [
+            sum(found) / len(found) < TARGET - TOLERANCE
+            for found in by_key.values()
+            if len(found) >= MIN_KEY_REQUESTS
+        ]
+    count = len(delivered)
+    return Row(
+        way=kind.name,
+        condition=condition.name,
+        seeds=SEEDS,
+        cost=sum(d.cost for d in delivered) / count / condition.price,
+        quality=sum(d.quality for d in delivered) / count,
+        keys_below=sum(below) / len(below),
+        rated=sum(d.ratings for d in delivered) / count,
+        wait_ms=sum(d.wait_seconds for d in delivered) / count * 1000.0,
+    )
+
+
+class CascadeCost(base.Experiment):
+    """Cost at the quality target, with ratings slow, down and drifting."""
+
+    @property
+    def name(self) -> str:
+        """The name for ``--only``."""
+        return "cascade"
+
+    @property
+    def charts(self) -> tuple[base.Chart, ...]:
+        """The charts of the rows."""
+        return (
+            base.Chart("cost", "condition", "way", "always largest = 1"),
+            base.Chart("quality", "condition", "way", "mean rating"),
+        )
+
+    def run(self, seed: int) -> list[Row]:
+        """Run every way and return the rows.
+
+        :param seed: seeds all random generators.
+        """
+        return [
+            measure(condition, kind, seed)
+            for condition in CONDITIONS
+            for kind in WAYS
+        ]
--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -20,7 +20,7 @@
 import psutil  # type: ignore[import-untyped]
 
 from wagtailstream_agent import grpc_service, results, runner
-from wagtailstream_core import clock, signing, wire_pb2
+from wagtailstream_core import clock, signing, tallies, wire_pb2
 from wagtailstream_entry import connection, links
 from wagtailstream_platform import (
     alarm,
@@ -135,6 +135,7 @@
             lambda name=name: make_heartbeat(name),  # type: ignore[misc]
             parts.strikes,
             parts.alarm,
+            tallies.TallyBoard(name),
         )
         server = grpclib.server.Server([service])
         await server.start("127.0.0.1", 0)
@@ -170,6 +171,7 @@
         ),
         INTERVAL_SECONDS,
         links.LinkBounds("entry-1", len(ports)),
+        lambda news: None,
     )
     following = asyncio.ensure_future(table.run())
     await asyncio.sleep(WARM_UP_SECONDS)
--- a/experiments/registry.py
+++ b/experiments/registry.py
@@ -1,8 +1,8 @@
 """Every experiment, in the order in which they run."""
 
-from experiments import base
+from experiments import bad_versions, base, cascade_cost
 
 
 def list_experiments() -> tuple[base.Experiment, ...]:
     """Return all experiments."""
-    return ()
+    return (bad_versions.BadVersions(), cascade_cost.CascadeCost())
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -25,6 +25,8 @@
 from wagtailstream_core import (
     clock,
     configuration,
+    tallies,
+    tally_codec,
     wire_codec,
     wire_pb2,
     work,
@@ -91,6 +93,7 @@
         )
         self._loader: loader.Loader | None = None
         self._runner = self._make_runner()
+        self._board = tallies.TallyBoard(agent_settings.instance)
         self._service = grpc_service.AgentService(
             self._runner,
             self._follower,
@@ -99,6 +102,7 @@
             self._make_heartbeat,
             self._strikes,
             self._alarm,
+            self._board,
         )
         self._is_draining = False
         self._sequence = 0
@@ -225,6 +229,9 @@
             ],
             contacts=wire_codec.encode_contacts(self._follower.contacts),
             stalled=self._stall_watch.is_stalled,
+            tallies=tally_codec.encode_tallies(
+                self._board.list_shared(self._clock.monotonic())
+            ),
         )
 
     def _read_gauges(self) -> reporter.Reading:
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -4,6 +4,7 @@
 import collections
 import collections.abc
 import logging
+import time
 import typing
 
 import grpclib
@@ -15,6 +16,8 @@
 from wagtailstream_core import (
     errors,
     ledger,
+    tallies,
+    tally_codec,
     wire_codec,
     wire_grpc,
     wire_pb2,
@@ -57,6 +60,7 @@
     :param make_heartbeat: returns this agent's present state.
     :param strikes: the strikes that this agent knows.
     :param news_alarm: rings when a heartbeat should not wait.
+    :param board: relays the counts per version between entries.
     """
 
     def __init__(
@@ -68,6 +72,7 @@
         make_heartbeat: HeartbeatMaker,
         strikes: strike_board.StrikeBoard,
         news_alarm: alarm.Alarm,
+        board: tallies.TallyBoard,
     ) -> None:
         self._runner = attempt_runner
         self._follower = config_follower
@@ -76,6 +81,7 @@
         self._make_heartbeat = make_heartbeat
         self._strikes = strikes
         self._alarm = news_alarm
+        self._board = board
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
             collections.defaultdict(set)
         )
@@ -212,6 +218,9 @@
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
+        self._board.merge(
+            tally_codec.decode_tallies(message.tallies), time.monotonic()
+        )
 
     async def PushConfiguration(  # noqa: N802
         self, stream: PushStream
--- a/packages/wagtailstream-core/wagtailstream_core/configuration.py
+++ b/packages/wagtailstream-core/wagtailstream_core/configuration.py
@@ -55,6 +55,14 @@
     stage: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Reinstatement:
+    """When a version's suspension was last lifted."""
+
+    version: ModelVersion
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True)
 class QuarantineEntry:
     """A body digest that is refused until a Unix time."""
@@ -88,6 +96,7 @@
     withdrawn: frozenset[ModelVersion] = frozenset()
     suspended: frozenset[ModelVersion] = frozenset()
     quarantined: tuple[QuarantineEntry, ...] = ()
+    reinstated: tuple[Reinstatement, ...] = ()
 
     def is_stopped(self, model: str, version: str) -> bool:
         """Return whether a version may take no new work.
@@ -98,6 +107,16 @@
         wanted = ModelVersion(model, version)
         return wanted in self.withdrawn or wanted in self.suspended
 
+    def find_epoch(self, version: ModelVersion) -> int:
+        """Return the offset from which on evidence on a version counts.
+
+        :param version: the version.
+        """
+        for reinstatement in self.reinstated:
+            if reinstatement.version == version:
+                return reinstatement.offset
+        return NO_OFFSET
+
     def find_stage(self, model: str, candidate: str) -> int:
         """Return the index of the stage that a roll-out has reached.
 
@@ -215,18 +234,25 @@
                 state, suspended=state.suspended | {stopped}
             )
         case records.Reinstate():
-            lifted = ModelVersion(body.model, body.version)
-            if lifted not in state.suspended:
-                raise _RejectedError(
-                    Verdict.INVALID, f"{lifted} is not suspended"
-                )
-            return dataclasses.replace(
-                state, suspended=state.suspended - {lifted}
-            )
+            return _apply_reinstate(state, body)
         case _:
             raise _RejectedError(Verdict.INVALID, f"unexpected {body.kind}")
 
 
+def _apply_reinstate(
+    state: Configuration, body: records.Reinstate
+) -> Configuration:
+    lifted = ModelVersion(body.model, body.version)
+    if lifted not in state.suspended:
+        raise _RejectedError(Verdict.INVALID, f"{lifted} is not suspended")
+    others = tuple(r for r in state.reinstated if r.version != lifted)
+    return dataclasses.replace(
+        state,
+        suspended=state.suspended - {lifted},
+        reinstated=(*others, Reinstatement(lifted, state.offset)),
+    )
+
+
 def _apply_quarantine(
     state: Configuration, body: records.Quarantine, now: float
 ) -> Configuration:
--- a/packages/wagtailstream-core/wagtailstream_core/versions.py
+++ b/packages/wagtailstream-core/wagtailstream_core/versions.py
@@ -6,6 +6,7 @@
 from wagtailstream_core import bundle, configuration, errors
 
 STEP = "version"
+MAIN_SHARE = 0.5
 _HASH_RANGE = 2**64
 
 
@@ -40,6 +41,22 @@
     ]
 
 
+def find_main_version(
+    state: configuration.Configuration, model: bundle.ServedModel
+) -> str:
+    """Return the version that most new sessions of a model start on.
+
+    :param state: the configuration in force.
+    :param model: the model.
+    """
+    rollout = model.rollout
+    if rollout is None or state.is_stopped(model.name, rollout.candidate):
+        return model.stable
+    stage = state.find_stage(model.name, rollout.candidate)
+    share = rollout.stages[min(stage, len(rollout.stages) - 1)]
+    return rollout.candidate if share > MAIN_SHARE else model.stable
+
+
 def choose_version(
     state: configuration.Configuration,
     customer: bundle.Customer,
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -10,10 +10,11 @@
 import uuid_utils
 from tornado import httpserver
 
-from wagtailstream_core import clock, freshness, wire_codec, wire_pb2
+from wagtailstream_core import cascade, clock, freshness, wire_codec, wire_pb2
 from wagtailstream_entry import (
     agent_link,
     authenticate,
+    climb_ladder,
     connection,
     current,
     deadline,
@@ -31,8 +32,10 @@
     resume_session,
     run_model,
     run_service,
+    sampling,
     settings,
     settle,
+    version_watch,
 )
 from wagtailstream_platform import (
     alarm,
@@ -106,8 +109,40 @@
             links.LinkBounds(
                 entry_settings.instance, entry_settings.max_links
             ),
+            lambda news: self._watch.merge(news),
             tls.make_client_context(entry_settings.tls),
         )
+        self._watch = version_watch.VersionWatch(
+            entry_settings.instance,
+            self._follower,
+            self._log,
+            entry_settings.load_fleet_signer(),
+            lambda: self._table.entry_count,
+            self._clock,
+            random.Random(),
+            self._metrics,
+        )
+        rater = self._make_rater()
+        memory = cascade.Memory()
+        self._climber = climb_ladder.LadderClimber(
+            rater,
+            self._watch,
+            memory,
+            self._follower,
+            self._clock,
+            random.Random(),
+            self._metrics,
+        )
+        self._sampler = sampling.Sampler(
+            rater,
+            self._watch,
+            memory,
+            self._follower,
+            entry_settings.rating_share,
+            entry_settings.rating_limit,
+            random.Random(),
+            self._metrics,
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._table,
             entry_settings.data_centre,
@@ -140,6 +175,7 @@
             configuration_offset=self._follower.state.offset,
             draining=self._is_draining,
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            tallies=self._watch.list_shared(),
         )
 
     def _make_rater(self) -> rating.Rater:
@@ -164,8 +200,9 @@
                 run_model.RunModel(
                     self._dispatcher,
                     self._follower,
-                    self._make_rater(),
-                    self._metrics,
+                    self._climber,
+                    self._sampler,
+                    self._watch,
                     peer,
                 ),
                 self._settle,
@@ -245,12 +282,24 @@
                 }
                 for rollout in state.rollouts
             ],
+            "versions": self._describe_versions(),
             "counters": self._metrics.counts,
             "agents": [
                 self._describe_link(link) for link in self._table.list_links()
             ],
         }
 
+    def _describe_versions(self) -> list[responses.Json]:
+        return [
+            {
+                "version": str(version),
+                "answers": round(track.counts.answers, 1),
+                "quality": round(track.counts.quality, 3),
+                "evidence": round(track.strongest, 2),
+            }
+            for version, track in sorted(self._watch.tracks.items())
+        ]
+
     def _describe_link(self, link: agent_link.AgentLink) -> responses.Json:
         state = link.state
         if state is None:
@@ -281,6 +330,7 @@
                 self._follower.run(),
                 self._outbox.run(),
                 self._table.run(),
+                self._watch.run(),
                 reporter.Reporter(self._metrics, self._read_gauges).run(),
             )
         ]
@@ -317,6 +367,7 @@
         await self._settle.wait_settled()
         await self._flush()
         self._table.close()
+        self._sampler.close()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/climb_ladder.py
@@ -0,0 +1,168 @@
+"""Runs a request up a ladder of models until an answer is good enough."""
+
+import collections.abc
+import random
+
+from wagtailstream_core import bundle, cascade, clock, configuration, versions
+from wagtailstream_entry import (
+    exchange,
+    pipeline,
+    rating,
+    version_watch,
+)
+from wagtailstream_platform import follower, metrics
+
+Runner = collections.abc.Callable[
+    [exchange.Exchange, str, exchange.AnswerSink],
+    collections.abc.Awaitable[pipeline.Verdict],
+]
+
+
+class LadderClimber:
+    """Tries a ladder's models as the ratings so far suggest.
+
+    :param rater: rates answers.
+    :param watch: counts how versions do.
+    :param memory: the ratings by customer, task and model.
+    :param config_follower: holds the configuration in force.
+    :param system_clock: tells the time.
+    :param rng: draws which requests explore.
+    :param counters: takes the counts.
+    """
+
+    def __init__(
+        self,
+        rater: rating.Rater,
+        watch: version_watch.VersionWatch,
+        memory: cascade.Memory,
+        config_follower: follower.Follower,
+        system_clock: clock.Clock,
+        rng: random.Random,
+        counters: metrics.Metrics,
+    ) -> None:
+        self._rater = rater
+        self._watch = watch
+        self._memory = memory
+        self._follower = config_follower
+        self._clock = system_clock
+        self._rng = rng
+        self._metrics = counters
+        self._rater_state = cascade.RaterState()
+
+    async def climb(
+        self,
+        request: exchange.Exchange,
+        ladder: bundle.Ladder,
+        run_model: Runner,
+    ) -> pipeline.Verdict:
+        """Run the ladder's models until an answer may be delivered.
+
+        :param request: the request.
+        :param ladder: the ladder.
+        :param run_model: runs one model.
+        """
+        request.is_on_ladder = True
+        for step in self._plan(request, ladder):
+            step = self._replace_unrated(step, ladder)
+            self._metrics.count(metrics.Metric.LADDER, step.mode.value)
+            if step.mode is cascade.Mode.SKIP:
+                continue
+            if step.mode is cascade.Mode.TRUST:
+                return await run_model(request, step.model, request.sink)
+            sink = exchange.BufferSink()
+            verdict = await self._run_checked(
+                request, step.model, sink, run_model
+            )
+            if verdict.is_error():
+                return verdict
+            score = await self._rate(request, sink.content)
+            if self._may_deliver(score, step, ladder):
+                return await self._pass_on(request, sink)
+            self._metrics.count(metrics.Metric.ESCALATED, ladder.name)
+            if score is None:
+                break
+        return await run_model(request, ladder.models[-1], request.sink)
+
+    def _plan(
+        self, request: exchange.Exchange, ladder: bundle.Ladder
+    ) -> list[cascade.Step]:
+        state = self._follower.state
+        rungs, histograms = [], []
+        for name in ladder.models:
+            model = state.bundle.find_model(name) if state.bundle else None
+            if model is None:
+                continue
+            rungs.append(cascade.Rung(name, model.price_per_1000_tokens))
+            key = cascade.Key(
+                request.customer.name if request.customer else "",
+                request.task,
+                name,
+                versions.find_main_version(state, model),
+            )
+            histograms.append(self._memory.find(key))
+        if not rungs:
+            return []
+        return cascade.plan(
+            tuple(rungs),
+            tuple(histograms),
+            ladder.quality_target,
+            self._clock.monotonic(),
+            self._rng,
+        )
+
+    def _replace_unrated(
+        self, step: cascade.Step, ladder: bundle.Ladder
+    ) -> cascade.Step:
+        """Return what the bundle names while no rating can be had."""
+        now = self._clock.monotonic()
+        is_paused = now < self._rater_state.ask_again_at
+        if step.mode is not cascade.Mode.CHECK or not is_paused:
+            return step
+        mode = cascade.Mode.SKIP
+        if ladder.when_unrated == "accept":
+            mode = cascade.Mode.TRUST
+        return cascade.Step(step.model, mode, step.bar)
+
+    async def _run_checked(
+        self,
+        request: exchange.Exchange,
+        model: str,
+        sink: exchange.BufferSink,
+        run_model: Runner,
+    ) -> pipeline.Verdict:
+        request.is_rated_on_path = True
+        try:
+            return await run_model(request, model, sink)
+        finally:
+            request.is_rated_on_path = False
+
+    async def _rate(
+        self, request: exchange.Exchange, answer: bytes
+    ) -> float | None:
+        rated = rating.make_rated(request, answer)
+        score = await self._rater.rate(rated)
+        now = self._clock.monotonic()
+        self._rater_state = cascade.note_answer(
+            self._rater_state, score is not None, now
+        )
+        if score is None:
+            self._metrics.count(metrics.Metric.RATINGS_MISSED)
+            return None
+        version = configuration.ModelVersion(rated.model, rated.version)
+        self._watch.note_rating(version, score)
+        self._memory.add(rating.make_key(request, rated), score, now)
+        return score
+
+    def _may_deliver(
+        self, score: float | None, step: cascade.Step, ladder: bundle.Ladder
+    ) -> bool:
+        if score is None:
+            return ladder.when_unrated == "accept"
+        return score >= step.bar
+
+    async def _pass_on(
+        self, request: exchange.Exchange, sink: exchange.BufferSink
+    ) -> pipeline.Verdict:
+        await request.sink.start(request)
+        await request.sink.write(sink.content)
+        return pipeline.PASSED
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -313,6 +313,8 @@
                     job.finish(answer)
                 case work.Refused():
                     self._catch_up(link, answer.configuration_offset)
+                    if answer.refusal.reason is errors.Reason.ENDPOINT_FAILED:
+                        job.target.note_failed()
                     return expression.Error(answer.refusal)
             if ended is not None and job.assembler.is_complete:
                 endpoint = link.state.endpoint if link.state else ""
@@ -361,11 +363,13 @@
 
     :param endpoints: the names of the endpoints that the bundle allows.
     :param version: the version that must be loaded; None for a service.
+    :param note_failed: called where an agent says that its endpoint failed.
     """
 
     endpoints: frozenset[str]
     version: configuration.ModelVersion | None
     prefix_hash: int
+    note_failed: collections.abc.Callable[[], None] = lambda: None
 
     def admits(self, state: agent_link.AgentState) -> bool:
         """Return whether an agent's endpoint may take the work.
--- a/packages/wagtailstream-entry/wagtailstream_entry/exchange.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/exchange.py
@@ -77,6 +77,8 @@
     :param deadline: Unix time in seconds.
     :param candidates: the models to try, cheapest first.
     :param sink: where the answer goes.
+    :param is_on_ladder: whether its answers teach a ladder.
+    :param is_rated_on_path: whether a ladder's step rates the answer.
     :param costs: the cost of each attempt so far.
     :param runs: attempts whose agents wait for the bill.
     """
@@ -102,6 +104,8 @@
     deadline: float = 0.0
     origin: Origin = Origin()
     status: int = 200
+    is_on_ladder: bool = False
+    is_rated_on_path: bool = False
     costs: list[billing.AttemptCost] = dataclasses.field(default_factory=list)
     attempt_count: int = 0
     first_token_at: float | None = None
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -22,6 +22,10 @@
 
 FORGET_SECONDS = 30.0
 
+TallyTaker = collections.abc.Callable[
+    [collections.abc.Iterable[wire_pb2.VersionTally]], None
+]
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -47,6 +51,7 @@
     :param watch_settings: how connections are watched.
     :param refresh_seconds: the time between looks at the list.
     :param bounds: which part of a large fleet this entry links to.
+    :param take_tallies: takes the counts that heartbeats carry.
     :param context: for TLS; None for plain connections.
     """
 
@@ -59,6 +64,7 @@
         watch_settings: connection.WatchSettings,
         refresh_seconds: float,
         bounds: LinkBounds,
+        take_tallies: TallyTaker,
         context: ssl.SSLContext | None = None,
     ) -> None:
         self._context = context
@@ -76,6 +82,7 @@
         self._authenticator = authenticator
         self._clock = system_clock
         self._watch_settings = watch_settings
+        self._take_tallies = take_tallies
 
     @property
     def follower(self) -> follower.Follower:
@@ -220,6 +227,7 @@
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
+        self._take_tallies(message.tallies)
         own = self._follower.state.offset
         if message.configuration_offset > own:
             self.spawn(link.pull_configuration())
--- a/packages/wagtailstream-entry/wagtailstream_entry/rating.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/rating.py
@@ -7,6 +7,9 @@
 import pydantic
 from tornado import httpclient, simple_httpclient
 
+from wagtailstream_core import cascade
+from wagtailstream_entry import exchange
+
 TIMEOUT_SECONDS = 1.0
 _MAX_CLIENTS = 256
 
@@ -23,6 +26,32 @@
     task: str
 
 
+def make_rated(request: exchange.Exchange, answer: bytes) -> Rated:
+    """Return an answer with what its rating depends on.
+
+    :param request: the request that was answered.
+    :param answer: the whole answer.
+    """
+    return Rated(
+        request.request_id,
+        request.origin.model,
+        request.origin.version,
+        request.prompt,
+        answer.decode("utf-8", "replace"),
+        request.task,
+    )
+
+
+def make_key(request: exchange.Exchange, rated: Rated) -> cascade.Key:
+    """Return what a rating is kept under.
+
+    :param request: the request that was answered.
+    :param rated: the answer.
+    """
+    customer = request.customer.name if request.customer else ""
+    return cascade.Key(customer, rated.task, rated.model, rated.version)
+
+
 class Rater(abc.ABC):
     """Rates answers."""
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
@@ -11,8 +11,15 @@
     versions,
     work,
 )
-from wagtailstream_entry import dispatch, exchange, pipeline, rating
-from wagtailstream_platform import follower, metrics
+from wagtailstream_entry import (
+    climb_ladder,
+    dispatch,
+    exchange,
+    pipeline,
+    sampling,
+    version_watch,
+)
+from wagtailstream_platform import follower
 
 STEP = "plan"
 MAX_VERSION_CHOICES = 3
@@ -23,8 +30,9 @@
 
     :param dispatcher: runs work.
     :param config_follower: holds the configuration in force.
-    :param rater: rates answers, for ladders.
-    :param counters: takes the counts.
+    :param climber: runs requests up ladders.
+    :param sampler: rates answers off the request path.
+    :param watch: counts how versions do.
     :param peer: this instance's name, for refusals.
     """
 
@@ -32,14 +40,16 @@
         self,
         dispatcher: dispatch.Dispatcher,
         config_follower: follower.Follower,
-        rater: rating.Rater,
-        counters: metrics.Metrics,
+        climber: climb_ladder.LadderClimber,
+        sampler: sampling.Sampler,
+        watch: version_watch.VersionWatch,
         peer: str,
     ) -> None:
         self._dispatcher = dispatcher
         self._follower = config_follower
-        self._rater = rater
-        self._metrics = counters
+        self._climber = climber
+        self._sampler = sampler
+        self._watch = watch
         self._peer = peer
 
     async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
@@ -52,7 +62,7 @@
             return expression.Error(self._refuse_unknown(request))
         ladder = known.find_ladder(request.requested_model)
         if ladder is not None and ladder.name in customer.ladders:
-            return await self._climb(request, ladder)
+            return await self._climber.climb(request, ladder, self._run_model)
         model = known.find_model(request.requested_model)
         if model is None:
             return expression.Error(self._refuse_unknown(request))
@@ -75,47 +85,6 @@
             self._peer,
         )
 
-    async def _climb(
-        self, request: exchange.Exchange, ladder: bundle.Ladder
-    ) -> pipeline.Verdict:
-        """Try the ladder's models, cheapest first, until one is good."""
-        for model in ladder.models[:-1]:
-            sink = exchange.BufferSink()
-            verdict = await self._run_model(request, model, sink)
-            if verdict.is_error():
-                return verdict
-            if await self._is_good(request, ladder, sink.content):
-                return await self._pass_on(request, sink)
-            self._metrics.count(metrics.Metric.ESCALATED, ladder.name)
-        return await self._run_model(request, ladder.models[-1], request.sink)
-
-    async def _is_good(
-        self,
-        request: exchange.Exchange,
-        ladder: bundle.Ladder,
-        answer: bytes,
-    ) -> bool:
-        score = await self._rater.rate(
-            rating.Rated(
-                request.request_id,
-                request.origin.model,
-                request.origin.version,
-                request.prompt,
-                answer.decode("utf-8", "replace"),
-                request.task,
-            )
-        )
-        if score is None:
-            return ladder.when_unrated == "accept"
-        return score >= ladder.quality_target
-
-    async def _pass_on(
-        self, request: exchange.Exchange, sink: exchange.BufferSink
-    ) -> pipeline.Verdict:
-        await request.sink.start(request)
-        await request.sink.write(sink.content)
-        return pipeline.PASSED
-
     async def _run_model(
         self,
         request: exchange.Exchange,
@@ -161,6 +130,25 @@
             return versions.check_version(
                 state, customer, model, pinned.version, self._peer
             )
+        return self._choose_unsuspected(state, customer, model, request)
+
+    def _choose_unsuspected(
+        self,
+        state: configuration.Configuration,
+        customer: bundle.Customer,
+        model: bundle.ServedModel,
+        request: exchange.Exchange,
+    ) -> expression.Result[str, errors.Refusal]:
+        """Choose a version, a suspect only where there is no other."""
+        chosen = versions.choose_version(
+            self._watch.pass_over_suspects(state),
+            customer,
+            model,
+            request.session_id,
+            self._peer,
+        )
+        if chosen.is_ok():
+            return chosen
         return versions.choose_version(
             state, customer, model, request.session_id, self._peer
         )
@@ -178,10 +166,14 @@
         if state.bundle is None or allowance is None:
             return expression.Error(self._refuse_unknown(request))
         request.origin = exchange.Origin(name, version)
+        chosen = configuration.ModelVersion(name, version)
         target = dispatch.Target(
             dispatch.find_model_endpoints(state.bundle, allowance),
-            configuration.ModelVersion(name, version),
+            chosen,
             routing.hash_prefix(request.prompt),
+            lambda: self._watch.note_failure(
+                chosen, work.digest(make_work(0))
+            ),
         )
 
         def make_work(position: int) -> work.ModelWork:
@@ -189,7 +181,15 @@
                 name, version, request.prompt, request.max_tokens, position
             )
 
-        return await self._dispatcher.run(request, target, make_work, sink)
+        if not self._sampler.wants(request, chosen):
+            return await self._dispatcher.run(request, target, make_work, sink)
+        sample = sampling.Sample(sink)
+        outcome = await self._dispatcher.run(
+            request, target, make_work, sample
+        )
+        if outcome.is_ok():
+            self._sampler.submit(request, sample)
+        return outcome
 
 
 class _StartGuard(exchange.AnswerSink):
--- a/packages/wagtailstream-entry/wagtailstream_entry/settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settings.py
@@ -22,10 +22,14 @@
         silence after which either end drops the connection.
     :param max_links: how many agents this entry links to, of a larger fleet
         by pool.
+    :param rating_share: the rated share of the answers of stable versions.
+    :param rating_limit: how many ratings may be under way off the path.
     """
 
     session_keys: settings.Keys
     caller_tls: CallerTls | None = None
     heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=1.5)
     max_links: int = pydantic.Field(default=128, ge=1, le=4096)
+    rating_share: float = pydantic.Field(default=0.2, ge=0, le=1)
+    rating_limit: int = pydantic.Field(default=16, ge=0, le=1024)
     refresh_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/version_watch.py
@@ -0,0 +1,225 @@
+"""Watches versions, and suspends a bad one through the log."""
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import logging
+import random
+import uuid
+
+from wagtailstream_core import (
+    clock,
+    configuration,
+    errors,
+    records,
+    signing,
+    suspension,
+    tallies,
+    tally_codec,
+    wire_pb2,
+)
+from wagtailstream_platform import follower, log_client, metrics
+
+JUDGE_SECONDS = 0.2
+FOLD_WAIT_SECONDS = 2.0
+# Spreads the appends of many entries that see the same evidence.
+SPREAD_SECONDS_PER_ENTRY = 0.01
+MAX_KNOWN_FAILURES = 4096
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Failure:
+    version: configuration.ModelVersion
+    digest: str
+
+
+class VersionWatch:
+    """Counts answers per version, shares the counts, acts on the evidence.
+
+    :param instance: this instance's name.
+    :param config_follower: holds the configuration in force.
+    :param log: the platform's log.
+    :param signer: vouches for the records of this fleet.
+    :param count_entries: how many entries judge the same counts.
+    :param system_clock: tells the time.
+    :param rng: spreads the appends.
+    :param counters: takes the counts.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        config_follower: follower.Follower,
+        log: log_client.LogClient,
+        signer: signing.Signer,
+        count_entries: collections.abc.Callable[[], int],
+        system_clock: clock.Clock,
+        rng: random.Random,
+        counters: metrics.Metrics,
+    ) -> None:
+        # A restarted instance counts from zero, so under another name.
+        self._watch = suspension.Watch(f"{instance}/{uuid.uuid4().hex[:8]}")
+        self._follower = config_follower
+        self._log = log
+        self._signer = signer
+        self._count_entries = count_entries
+        self._clock = system_clock
+        self._rng = rng
+        self._metrics = counters
+        self._findings: list[suspension.Finding] = []
+        self._reported: set[configuration.ModelVersion] = set()
+        self._failures: collections.OrderedDict[_Failure, None] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def tracks(self) -> suspension.Tracks:
+        """How each version has done."""
+        return self._watch.tracks
+
+    def is_watchful(self, model: str) -> bool:
+        """Return whether all answers of a model should be rated now.
+
+        :param model: the model's name.
+        """
+        return self._watch.is_watchful(model)
+
+    def note_rating(
+        self, version: configuration.ModelVersion, score: float
+    ) -> None:
+        """Count a rated answer.
+
+        :param version: the version that made it.
+        :param score: its rating, 0 to 1.
+        """
+        self._metrics.count(metrics.Metric.RATED, str(version))
+        self._count(version, tallies.count_rating(score))
+
+    def note_failure(
+        self, version: configuration.ModelVersion, digest: str
+    ) -> None:
+        """Count an answer that an engine failed to give.
+
+        A request that fails again and again counts once for each version.
+
+        :param version: the version that was asked.
+        :param digest: tells the request's body from others.
+        """
+        failure = _Failure(version, digest)
+        if failure in self._failures:
+            return
+        self._failures[failure] = None
+        if len(self._failures) > MAX_KNOWN_FAILURES:
+            self._failures.popitem(last=False)
+        self._count(version, tallies.FAILED)
+
+    def _count(
+        self, version: configuration.ModelVersion, counts: tallies.Counts
+    ) -> None:
+        now = self._clock.monotonic()
+        self._watch.count(self._follower.state, version, counts, now)
+
+    def merge(
+        self, news: collections.abc.Iterable[wire_pb2.VersionTally]
+    ) -> None:
+        """Take in the tallies of a heartbeat.
+
+        :param news: tallies of any instances.
+        """
+        self._watch.merge(
+            self._follower.state,
+            tally_codec.decode_tallies(news),
+            self._clock.monotonic(),
+        )
+
+    def list_shared(self) -> list[wire_pb2.VersionTally]:
+        """Return the tallies for the next heartbeat."""
+        now = self._clock.monotonic()
+        return tally_codec.encode_tallies(
+            self._watch.list_shared(self._follower.state, now)
+        )
+
+    def pass_over_suspects(
+        self, state: configuration.Configuration
+    ) -> configuration.Configuration:
+        """Return a configuration in which suspects are suspended already.
+
+        Where the log is slow, new sessions need not wait for it to keep off
+        a version that is about to be suspended.
+
+        :param state: the configuration in force.
+        """
+        suspects = {
+            finding.version
+            for finding in self._findings
+            if finding.action is suspension.Action.SUSPEND
+        }
+        if not suspects:
+            return state
+        return dataclasses.replace(
+            state, suspended=state.suspended | frozenset(suspects)
+        )
+
+    async def run(self) -> None:
+        """Judge the versions until cancelled."""
+        while True:
+            await asyncio.sleep(JUDGE_SECONDS)
+            self._judge()
+            for finding in list(self._findings):
+                if finding.action is suspension.Action.SUSPEND:
+                    await self._suspend(finding)
+
+    def _judge(self) -> None:
+        self._findings = self._watch.judge(self._follower.state)
+        found = {finding.version for finding in self._findings}
+        self._reported &= found
+        for finding in self._findings:
+            if finding.version not in self._reported:
+                self._reported.add(finding.version)
+                self._report(finding)
+
+    def _report(self, finding: suspension.Finding) -> None:
+        self._metrics.count(metrics.Metric.BAD_VERSIONS, finding.action.value)
+        _LOGGER.error(
+            "version does badly",
+            extra={
+                "version": str(finding.version),
+                "action": finding.action.value,
+                "evidence": finding.evidence,
+            },
+        )
+
+    async def _suspend(self, finding: suspension.Finding) -> None:
+        """Append the suspension; a stale one is tried again later."""
+        spread = SPREAD_SECONDS_PER_ENTRY * self._count_entries()
+        await asyncio.sleep(self._rng.uniform(0.0, spread))
+        state = self._follower.state
+        version = finding.version
+        if state.is_stopped(version.model, version.version):
+            return
+        record = records.Suspend(
+            base=state.revision,
+            model=version.model,
+            version=version.version,
+            evidence=finding.evidence,
+        )
+        try:
+            appended = await self._log.append(
+                records.STREAM, records.seal(record, self._signer)
+            )
+        except errors.LogUnavailableError as error:
+            self._metrics.count(metrics.Metric.LOG_FAILURES)
+            _LOGGER.warning("suspension waits", extra={"detail": str(error)})
+            return
+        await self._wait_folded(appended.offset)
+
+    async def _wait_folded(self, offset: int) -> None:
+        try:
+            async with asyncio.timeout(FOLD_WAIT_SECONDS):
+                while self._follower.state.offset < offset:
+                    await self._follower.wait_changed()
+        except TimeoutError:
+            _LOGGER.warning("suspension not read back yet")
--- /dev/null
+++ b/tests/core/test_suspension.py
@@ -0,0 +1,173 @@
+"""Pooled counts, the sequential test, and who may be suspended."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from wagtailstream_core import (
+    bundle,
+    configuration,
+    records,
+    signing,
+    suspension,
+    tallies,
+)
+
+STABLE = configuration.ModelVersion("drafter", "1")
+CANDIDATE = configuration.ModelVersion("drafter", "2")
+GOOD = tallies.count_rating(0.9)
+BAD = tallies.count_rating(0.05)
+
+
+def make_state(**changes: object) -> configuration.Configuration:
+    model = bundle.ServedModel(name="drafter", versions=("1", "2"), stable="1")
+    known = bundle.Bundle(name="b", data_centres=("rennes",), models=(model,))
+    state = configuration.Configuration(bundle=known)
+    for name, value in changes.items():
+        object.__setattr__(state, name, value)
+    return state
+
+
+def give(
+    watch: suspension.Watch,
+    version: configuration.ModelVersion,
+    counts: tallies.Counts,
+    times: int,
+    state: configuration.Configuration | None = None,
+) -> None:
+    for _ in range(times):
+        watch.count(state or make_state(), version, counts, 0.0)
+
+
+def list_actions(
+    watch: suspension.Watch, state: configuration.Configuration | None = None
+) -> dict[configuration.ModelVersion, suspension.Action]:
+    found = watch.judge(state or make_state())
+    return {finding.version: finding.action for finding in found}
+
+
+def test_failing_candidate_is_suspended_within_few_answers() -> None:
+    watch = suspension.Watch("a")
+    give(watch, STABLE, GOOD, 500)
+    give(watch, CANDIDATE, BAD, 8)
+    assert list_actions(watch) == {CANDIDATE: suspension.Action.SUSPEND}
+
+
+def test_long_good_past_does_not_hide_a_change() -> None:
+    watch = suspension.Watch("a")
+    give(watch, STABLE, GOOD, 500)
+    give(watch, CANDIDATE, GOOD, 5000)
+    give(watch, CANDIDATE, BAD, 10)
+    assert list_actions(watch) == {CANDIDATE: suspension.Action.SUSPEND}
+
+
+def test_better_candidate_stops_nobody() -> None:
+    watch = suspension.Watch("a")
+    give(watch, STABLE, tallies.count_rating(0.7), 3000)
+    give(watch, CANDIDATE, tallies.count_rating(0.95), 3000)
+    assert list_actions(watch) == {}
+
+
+def test_common_cause_holds_instead_of_suspending() -> None:
+    watch = suspension.Watch("a")
+    give(watch, STABLE, GOOD, 500)
+    for _ in range(30):
+        give(watch, STABLE, BAD, 1)
+        give(watch, CANDIDATE, BAD, 1)
+    actions = set(list_actions(watch).values())
+    assert actions == {suspension.Action.HOLD}
+
+
+def test_bad_stable_yields_to_a_proven_candidate_alone() -> None:
+    watch = suspension.Watch("a")
+    give(watch, STABLE, GOOD, 500)
+    give(watch, CANDIDATE, GOOD, 10)
+    give(watch, STABLE, BAD, 20)
+    assert list_actions(watch) == {STABLE: suspension.Action.HOLD}
+    give(watch, CANDIDATE, GOOD, 100)
+    assert list_actions(watch) == {STABLE: suspension.Action.SUSPEND}
+
+
+def test_last_version_is_never_suspended() -> None:
+    state = make_state(suspended=frozenset({STABLE}))
+    watch = suspension.Watch("a")
+    give(watch, STABLE, GOOD, 500)
+    give(watch, CANDIDATE, BAD, 50, state)
+    actions = list_actions(watch, state)
+    assert actions == {CANDIDATE: suspension.Action.HOLD}
+
+
+def test_reinstatement_resets_all_evidence_even_late_arrivals() -> None:
+    watch, other = suspension.Watch("a"), suspension.Watch("b")
+    give(watch, STABLE, GOOD, 500)
+    give(watch, CANDIDATE, BAD, 20)
+    late = watch.list_shared(make_state(), 0.0)
+    reinstated = (configuration.Reinstatement(CANDIDATE, 7),)
+    state = make_state(reinstated=reinstated)
+    assert list_actions(watch, state) == {}
+    other.merge(state, late, 0.0)
+    assert CANDIDATE not in other.tracks
+    give(watch, CANDIDATE, GOOD, 1, state)
+    other.merge(state, watch.list_shared(state, 0.0), 0.0)
+    assert other.tracks[CANDIDATE].counts == GOOD
+
+
+def test_fold_notes_when_a_version_was_reinstated() -> None:
+    pair = signing.generate_operator_key()
+    keyring = signing.Keyring({"alice": pair.public_key}, {})
+    signer = signing.OperatorSigner("alice", pair.private_key)
+    state = make_state(suspended=frozenset({CANDIDATE}))
+    record = records.Reinstate(base=-1, model="drafter", version="2")
+    payload = records.seal(record, signer)
+    found = configuration.fold(
+        state, configuration.LogRecord(4, payload, 0.0), keyring
+    ).configuration
+    assert found.find_epoch(CANDIDATE) == 4
+    dumped = configuration.load_state(configuration.dump_state(found))
+    assert dumped.find_epoch(CANDIDATE) == 4
+
+
+@hypothesis.given(strategies.randoms(), strategies.integers(1, 40))
+def test_pooled_counts_bear_repeats_and_any_order(
+    rng: random.Random, steps: int
+) -> None:
+    boards = [tallies.TallyBoard(name) for name in "abc"]
+    messages: list[tallies.Tally] = []
+    given = 0
+    for _ in range(steps):
+        rng.choice(boards[:2]).count(STABLE, -1, GOOD, 0.0)
+        given += 1
+        for board in boards[:2]:
+            messages += board.list_shared(0.0)
+    messages += rng.sample(messages, len(messages) // 2)
+    rng.shuffle(messages)
+    pooled = tallies.Counts()
+    for message in messages:
+        for increase in boards[2].merge([message], 0.0):
+            pooled += increase.counts
+    assert pooled.answers == pytest.approx(given)
+
+
+def test_still_tally_is_not_relayed_and_later_forgotten() -> None:
+    board, peer = tallies.TallyBoard("a"), tallies.TallyBoard("b")
+    peer.count(STABLE, -1, GOOD, 0.0)
+    news = peer.list_shared(0.0)
+    board.merge(news, 0.0)
+    assert board.list_shared(tallies.RELAY_SECONDS + 1) == []
+    # A straggler in between is still known, so not counted twice.
+    assert board.merge(news, tallies.FORGET_SECONDS - 1) == []
+
+
+def test_large_board_shares_every_tally_in_turn() -> None:
+    board = tallies.TallyBoard("relay")
+    names = [f"entry-{n}" for n in range(150)]
+    news = [tallies.Tally(name, STABLE, -1, GOOD) for name in names]
+    board.merge(news, 0.0)
+    seen: set[str] = set()
+    for _ in range(3):
+        shared = board.list_shared(0.0, 64)
+        assert len(shared) <= 64
+        seen |= {tally.instance for tally in shared}
+    assert seen == set(names)
--- /dev/null
+++ b/tests/integration/test_bad_version.py
@@ -0,0 +1,154 @@
+"""A version that turns bad is suspended by itself, on pooled evidence."""
+
+import collections.abc
+
+import pytest
+
+from standins import fleet
+from tests.integration import support
+
+
+def set_bad(started: fleet.Fleet, *versions: str) -> None:
+    for name, found in started.endpoints.items():
+        if name.startswith("drafting"):
+            started.set_faults(found.backend, bad_versions=list(versions))
+
+
+def find_suspended(started: fleet.Fleet) -> list[list[str]]:
+    return [
+        started.fetch_status(entry)["suspended"] for entry in started.entries
+    ]
+
+
+def find_answers(started: fleet.Fleet, version: str) -> float:
+    """Return the fewest answers that any entry knows of a version."""
+    return min(
+        {
+            item["version"]: item["answers"]
+            for item in started.fetch_status(entry)["versions"]
+        }.get(version, 0.0)
+        for entry in started.entries
+    )
+
+
+def drive(
+    started: fleet.Fleet,
+    is_done: collections.abc.Callable[[], bool],
+    message: str,
+) -> list[support.Answer]:
+    """Ask both entries in turn until a condition holds."""
+    answers: list[support.Answer] = []
+
+    def step() -> bool:
+        for entry in started.entries:
+            answers.append(
+                support.chat(entry, f"Draft {len(answers)}. [tokens=4]")
+            )
+        return is_done()
+
+    started.wait_until(step, message)
+    return answers
+
+
+def find_version(answer: support.Answer) -> str:
+    return answer.headers.get("Wagtail-Version", "")
+
+
+@pytest.fixture(scope="module")
+def started() -> collections.abc.Iterator[fleet.Fleet]:
+    options = fleet.Options(entry={"rating_share": 1.0})
+    with support.run_fleet(entries=2, options=options) as running:
+        running.operate("alice", "bundle", "advance", "drafter")
+        drive(
+            running,
+            lambda: (
+                find_answers(running, "drafter@1") >= 30
+                and find_answers(running, "drafter@2") >= 5
+            ),
+            "no counts",
+        )
+        yield running
+
+
+@pytest.mark.parametrize("fault", [{"outage": True}, {"delay_seconds": 30}])
+def test_rating_service_never_delays_a_caller(
+    started: fleet.Fleet, fault: dict[str, object]
+) -> None:
+    started.set_faults(started.platform["rating"], **fault)
+    set_bad(started, "drafter@2")
+    for number in range(40):
+        # The HTTP client's own bound is above; the deadline is below it.
+        answer = support.chat(started.entries[0], f"Draft {number}.")
+        assert answer.outcome == "completed"
+
+    def is_skipped() -> bool:
+        counters = started.fetch_status(started.entries[0])["counters"]
+        return counters.get("ratings.missed", 0) > 0
+
+    started.wait_until(is_skipped, "no rating was missed")
+    started.set_faults(
+        started.platform["rating"], outage=False, delay_seconds=0
+    )
+    set_bad(started)
+    assert find_suspended(started) == [[], []]
+
+
+def test_bad_candidate_is_suspended_by_itself(started: fleet.Fleet) -> None:
+    pinned = next(
+        answer
+        for answer in drive(started, lambda: True, "")
+        + drive(started, lambda: True, "")
+        + [support.chat(started.entries[0], f"p{n}") for n in range(40)]
+        if find_version(answer) == "2"
+    )
+    set_bad(started, "drafter@2")
+    bad = drive(
+        started,
+        lambda: find_suspended(started) == [["drafter@2"]] * 2,
+        "the bad version is still in service",
+    )
+    assert all(answer.outcome == "completed" for answer in bad)
+    before = count_runs(started, "2")
+    after = drive(started, lambda: True, "")
+    after += drive(started, lambda: True, "")
+    assert {find_version(answer) for answer in after} == {"1"}
+    refused = support.chat(
+        started.entries[1],
+        "Go on.",
+        Wagtail_Session=pinned.headers["Wagtail-Session"],
+    )
+    assert (refused.code, refused.outcome) == ("version-withdrawn", "not-run")
+    assert count_runs(started, "2") == before
+    reinstate(started)
+
+
+def reinstate(started: fleet.Fleet) -> None:
+    """Lift the suspension: the old evidence must not count again."""
+    set_bad(started)
+    started.operate("alice", "bundle", "reinstate", "drafter", "2")
+    drive(
+        started,
+        lambda: find_answers(started, "drafter@2") >= 20,
+        "the reinstated version gets no work",
+    )
+    assert find_suspended(started) == [[], []]
+
+
+def count_runs(started: fleet.Fleet, version: str) -> int:
+    return sum(
+        run.get("version") == version for run in support.list_runs(started)
+    )
+
+
+def test_bad_last_version_is_kept_for_the_operators(
+    started: fleet.Fleet,
+) -> None:
+    set_bad(started, "drafter@1", "drafter@2")
+
+    def is_held() -> bool:
+        counters = started.fetch_status(started.entries[0])["counters"]
+        return counters.get("versions.bad.hold", 0) > 0
+
+    answers = drive(started, is_held, "nobody noticed")
+    assert all(answer.outcome == "completed" for answer in answers)
+    assert find_suspended(started) == [[], []]
--- /dev/null
+++ b/tests/integration/test_cascade.py
@@ -0,0 +1,91 @@
+"""Ladders: learned from ratings, and with the rating service gone."""
+
+import collections.abc
+import pathlib
+
+import pytest
+import yaml
+
+from standins import fleet
+from tests.integration import support
+
+KNOWN_RATINGS = 25
+LATER_REQUESTS = 60
+
+
+@pytest.fixture(scope="module")
+def started(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> collections.abc.Iterator[fleet.Fleet]:
+    document = yaml.safe_load(support.BUNDLE.read_text())
+    for model, price in zip(document["models"], (1, 10), strict=True):
+        model["price_per_1000_tokens"] = price
+    document["ladders"].append(
+        document["ladders"][0] | {"name": "bold", "when_unrated": "accept"}
+    )
+    document["customers"][0]["ladders"].append("bold")
+    path = tmp_path_factory.mktemp("bundle") / "bundle.yaml"
+    path.write_text(yaml.safe_dump(document))
+    with run(path) as running:
+        yield running
+
+
+def run(path: pathlib.Path):
+    options = fleet.Options(
+        rating=("--quality", "drafter=0.3", "--quality", "large=0.9")
+    )
+    return support.run_fleet(options=options, bundle_path=path)
+
+
+def ask(
+    started: fleet.Fleet, number: int, model: str = "ladder"
+) -> support.Answer:
+    answer = support.chat(
+        started.entries[0], f"Draft {number}. [tokens=4]", model=model
+    )
+    assert answer.outcome == "completed"
+    assert answer.is_whole
+    return answer
+
+
+def count_runs(started: fleet.Fleet, model: str) -> int:
+    return sum(run.get("model") == model for run in support.list_runs(started))
+
+
+def find_model(answer: support.Answer) -> str:
+    return answer.headers["Wagtail-Model"]
+
+
+def test_missing_ratings_take_what_the_bundle_names(
+    started: fleet.Fleet,
+) -> None:
+    started.set_faults(started.platform["rating"], delay_seconds=30)
+    answers = [ask(started, number) for number in range(10)]
+    assert {find_model(answer) for answer in answers} == {"large"}
+    # While the service is silent, nobody waits for it again and again.
+    assert count_runs(started, "drafter") < 10
+    started.set_faults(
+        started.platform["rating"], delay_seconds=0, outage=True
+    )
+    bold = [ask(started, number, "bold") for number in range(10)]
+    assert {find_model(answer) for answer in bold} == {"drafter"}
+    started.set_faults(started.platform["rating"], outage=False)
+
+
+def test_poor_model_is_skipped_once_known(started: fleet.Fleet) -> None:
+    first: list[support.Answer] = []
+
+    def is_known() -> bool:
+        first.append(ask(started, 100 + len(first)))
+        counters = started.fetch_status(started.entries[0])["counters"]
+        return counters.get("ratings.counted.drafter@1", 0) >= KNOWN_RATINGS
+
+    started.wait_until(is_known, "the small model is not rated")
+    before = count_runs(started, "drafter")
+    later = [ask(started, n) for n in range(900, 900 + LATER_REQUESTS)]
+    assert {find_model(a) for a in first + later} == {"large"}
+    assert count_runs(started, "drafter") - before < LATER_REQUESTS / 3
+    # One bill a request, with the tried model's cost in it.
+    bills = support.count_bills(started)
+    attempts = [bills[answer.request_id] for answer in first]
+    assert set(attempts) == {1, 2}
