Hold a suspension until the stable version had its say

Change: the stable version must have given 5 answers since the suspicion began, or the evidence be twice the bound; where it gets no work any more there is nothing to wait for.

--- a/packages/wagtailstream-core/wagtailstream_core/suspension.py
+++ b/packages/wagtailstream-core/wagtailstream_core/suspension.py
@@ -30,8 +30,11 @@
 # Up to here the evidence of many answers is added up, so that their spread
 # may be taken into account; beyond, a few answers decide.
 MAX_SCALED_DEGRADATION = 0.2
-MIN_DISPERSION = 0.1
+MIN_DISPERSION = 0.2
 WATCHFUL = 3.0
+MIN_CONCURRENT_ANSWERS = 5
+# Evidence this strong needs no concurrent answers of the stable version.
+LONE_BOUND = 2 * BOUND
 _MIN_QUALITY = 0.01
 _MAX_QUALITY = 0.99
 
@@ -43,11 +46,16 @@
     :param settled: what was counted before the evidence last began to rise.
     :param recent: what was counted since.
     :param evidence: one cumulative sum for each of the degradations.
+    :param total_answers: all that were ever counted.
+    :param watched_from: the stable version's total when this one became
+        suspicious last.
     """
 
     settled: tallies.Counts = tallies.Counts()
     recent: tallies.Counts = tallies.Counts()
     evidence: tuple[float, ...] = (0.0,) * len(DEGRADATIONS)
+    total_answers: float = 0.0
+    watched_from: float = 0.0
 
     @property
     def counts(self) -> tallies.Counts:
@@ -91,20 +99,27 @@
     track: Track,
     increase: tallies.Counts,
     reference: tallies.Counts | None,
+    reference_total: float = 0.0,
 ) -> Track:
     """Return a version's track after more answers.
 
     :param track: the track so far.
     :param increase: what was counted since.
     :param reference: what it is compared with; None where that is unknown.
+    :param reference_total: all answers ever counted of the stable version.
     """
     evidence = (0.0,) * len(DEGRADATIONS)
+    total = track.total_answers + increase.answers
     if reference is not None:
         evidence = add_evidence(track.evidence, increase, reference)
-    if any(evidence):
-        return Track(track.settled, track.recent + increase, evidence)
-    settled = track.settled + track.recent + increase
-    return Track(settled.trim(REFERENCE_ANSWERS), evidence=evidence)
+    watched_from = track.watched_from
+    if track.strongest < WATCHFUL:
+        watched_from = reference_total
+    settled, recent = track.settled, track.recent + increase
+    if not any(evidence):
+        settled = (settled + recent).trim(REFERENCE_ANSWERS)
+        recent = tallies.Counts()
+    return Track(settled, recent, evidence, total, watched_from)
 
 
 def add_evidence(
@@ -208,7 +223,11 @@
         if other != version and not state.is_stopped(model.name, other)
     ]
     if version != model.stable and model.stable in others:
-        return _does_well(_find_track(tracks, model, model.stable))
+        return _is_better(
+            _find_track(tracks, model, model.stable),
+            _find_track(tracks, model, version),
+            _gives_stable_work(state, model),
+        )
     known = [_find_track(tracks, model, other) for other in others]
     return any(
         _does_well(track) and track.counts.answers >= MIN_REPLACEMENT_ANSWERS
@@ -216,6 +235,29 @@
     )
 
 
+def _gives_stable_work(
+    state: configuration.Configuration, model: bundle.ServedModel
+) -> bool:
+    """Return whether the stable version answers new sessions too."""
+    rollout = model.rollout
+    if rollout is None:
+        return True
+    stage = state.find_stage(model.name, rollout.candidate)
+    return rollout.stages[min(stage, len(rollout.stages) - 1)] < 1
+
+
+def _is_better(stable: Track, suspect: Track, has_work: bool) -> bool:
+    """Return whether the stable version did well while the suspect did not.
+
+    Where it has no answers to show, strong evidence is enough; where it gets
+    no work, there is nothing to wait for.
+    """
+    concurrent = stable.total_answers - suspect.watched_from
+    is_compared = concurrent >= MIN_CONCURRENT_ANSWERS or not has_work
+    is_overwhelming = suspect.strongest >= LONE_BOUND
+    return _does_well(stable) and (is_compared or is_overwhelming)
+
+
 def _does_well(track: Track) -> bool:
     return track.strongest < BOUND / 2
 
@@ -327,7 +369,24 @@
         self._epochs[version] = state.find_epoch(version)
         track = self._tracks.get(version, Track())
         reference = self._find_reference(state, version, track)
-        self._tracks[version] = advance(track, increase.counts, reference)
+        self._tracks[version] = advance(
+            track,
+            increase.counts,
+            reference,
+            self._find_stable_total(state, version),
+        )
+
+    def _find_stable_total(
+        self,
+        state: configuration.Configuration,
+        version: configuration.ModelVersion,
+    ) -> float:
+        known = state.bundle
+        model = known.find_model(version.model) if known else None
+        if model is None:
+            return 0.0
+        stable = configuration.ModelVersion(model.name, model.stable)
+        return self._tracks.get(stable, Track()).total_answers
 
     def _find_reference(
         self,
