Measure ways to spread configuration records

Weighed over one lossy in-memory link at 20, 200 and 1,140 receivers: everyone tails; the same with levelling heartbeats (today's); few tail and relay with repair from the tails; the same with a replier chosen for each gap among neighbours and duplicate requests suppressed, as in DyRAM (Maimour and Pham, 2002).

It is in the core with its tests, and not wired.

--- a/experiments/registry.py
+++ b/experiments/registry.py
@@ -5,6 +5,7 @@
     bad_versions,
     base,
     cascade_cost,
+    spreading,
 )
 
 
@@ -14,4 +15,5 @@
         bad_versions.BadVersions(),
         cascade_cost.CascadeCost(),
         append_batching.AppendBatching(),
+        spreading.Spreading(),
     )
--- /dev/null
+++ b/tests/core/test_dissemination.py
@@ -0,0 +1,86 @@
+"""The tree of a region, and how gaps in it are filled."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies
+
+from wagtailstream_core import dissemination
+
+NAMES = [f"n{index}" for index in range(30)]
+
+
+def make_relays(seed: int = 1) -> dict[str, dissemination.Relay]:
+    rng = random.Random(seed)
+    return {
+        position.name: dissemination.Relay(position, rng)
+        for position in dissemination.place(NAMES, 3, 4)
+    }
+
+
+def test_tree_reaches_everybody_once() -> None:
+    positions = dissemination.place(NAMES, 3, 4)
+    children = [c for position in positions for c in position.children]
+    assert sorted([*children, *NAMES[:3]]) == sorted(NAMES)
+    assert max(len(position.children) for position in positions) <= 4
+
+
+def test_second_request_waits_for_the_first() -> None:
+    relay = make_relays()["n3"]
+    first = relay.take_ask("n15", dissemination.Ask((0,)), 0.0)
+    assert [type(item.message) for item in first] == [dissemination.Ask]
+    assert relay.take_ask("n16", dissemination.Ask((0,)), 0.1) == []
+    repaired = relay.take_record(0, 0.2)
+    assert {"n15", "n16"} <= {item.to for item in repaired}
+
+
+def test_overdue_request_goes_to_another_replier() -> None:
+    relay = make_relays()["n3"]
+    first = relay.take_digest("n0", dissemination.Digest(1), 0.0)
+    later = relay.make_digests(dissemination.ASK_SECONDS + 0.1)
+    asked = [s for s in later if isinstance(s.message, dissemination.Ask)]
+    assert first[0].to == "n0"
+    assert [item.to for item in asked] not in ([], ["n0"])
+
+
+def deliver(
+    relays: dict[str, dissemination.Relay],
+    source: str,
+    item: dissemination.Sent,
+    now: float,
+) -> list[dissemination.Sent]:
+    relay = relays[item.to]
+    match item.message:
+        case dissemination.Push(offset=offset):
+            return relay.take_record(offset, now)
+        case dissemination.Digest() as digest:
+            return relay.take_digest(source, digest, now)
+        case dissemination.Ask() as ask:
+            return relay.take_ask(source, ask, now)
+
+
+@hypothesis.settings(max_examples=25, deadline=None)
+@hypothesis.given(strategies.randoms(), strategies.floats(0.0, 0.4))
+def test_everybody_gets_every_record_in_spite_of_loss(
+    rng: random.Random, loss: float
+) -> None:
+    relays = make_relays()
+    records, now = 5, 0.0
+    queue = [
+        (name, item)
+        for name in NAMES[:3]
+        for offset in range(records)
+        for item in relays[name].take_record(offset, now)
+    ]
+    for _ in range(200):
+        if all(r.next_offset == records for r in relays.values()):
+            return
+        while queue:
+            source, item = queue.pop(rng.randrange(len(queue)))
+            if rng.random() >= loss:
+                sent = deliver(relays, source, item, now)
+                queue += [(item.to, further) for further in sent]
+        now += dissemination.ASK_SECONDS
+        for name, relay in relays.items():
+            queue += [(name, item) for item in relay.make_digests(now)]
+    raise AssertionError("records are missing")
