Bound a rating's wait by the deadline; test suspension in a log outage

A caller with less time left than the rating service's own bound of 1 s waited beyond its deadline. test_log_outage: new sessions leave the bad version while the log is down, the record follows once it is up.

--- a/packages/wagtailstream-entry/wagtailstream_entry/climb_ladder.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/climb_ladder.py
@@ -1,5 +1,6 @@
 """Runs a request up a ladder of models until an answer is good enough."""
 
+import asyncio
 import collections.abc
 import random
 
@@ -140,7 +141,7 @@
         self, request: exchange.Exchange, answer: bytes
     ) -> float | None:
         rated = rating.make_rated(request, answer)
-        score = await self._rater.rate(rated)
+        score = await self._rate_in_time(request, rated)
         now = self._clock.monotonic()
         self._rater_state = cascade.note_answer(
             self._rater_state, score is not None, now
@@ -153,6 +154,17 @@
         self._memory.add(rating.make_key(request, rated), score, now)
         return score
 
+    async def _rate_in_time(
+        self, request: exchange.Exchange, rated: rating.Rated
+    ) -> float | None:
+        try:
+            async with asyncio.timeout(
+                max(0.0, request.deadline - self._clock.wall())
+            ):
+                return await self._rater.rate(rated)
+        except TimeoutError:
+            return None
+
     def _may_deliver(
         self, score: float | None, step: cascade.Step, ladder: bundle.Ladder
     ) -> bool:
--- a/tests/integration/test_bad_version.py
+++ b/tests/integration/test_bad_version.py
@@ -122,6 +122,30 @@
     reinstate(started)
 
 
+def test_log_outage_delays_the_record_but_not_the_change(
+    started: fleet.Fleet,
+) -> None:
+    started.set_faults(started.platform["log"], outage=True)
+    set_bad(started, "drafter@2")
+
+    def is_avoided() -> bool:
+        answers = [
+            support.chat(entry, f"Draft {number}. [tokens=4]")
+            for entry in started.entries
+            for number in range(8)
+        ]
+        return {find_version(answer) for answer in answers} == {"1"}
+
+    started.wait_until(is_avoided, "new sessions start on a bad version")
+    assert find_suspended(started) == [[], []]
+    started.set_faults(started.platform["log"], outage=False)
+    started.wait_until(
+        lambda: find_suspended(started) == [["drafter@2"]] * 2,
+        "the suspension was lost with the outage",
+    )
+    reinstate(started)
+
+
 def reinstate(started: fleet.Fleet) -> None:
     """Lift the suspension: the old evidence must not count again."""
     set_bad(started)
