--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -19,8 +19,8 @@
 import orjson
 import psutil  # type: ignore[import-untyped]
 
-from wagtailstream_agent import grpc_service, results, runner
-from wagtailstream_core import clock, signing, wire_pb2
+from wagtailstream_agent import collector, grpc_service, results, runner
+from wagtailstream_core import clock, signing, tallies, wire_pb2
 from wagtailstream_entry import connection, links
 from wagtailstream_platform import (
     alarm,
@@ -137,6 +137,8 @@
             clock.SystemClock(),
             parts.strikes,
             parts.alarm,
+            tallies.TallyBoard(name),
+            typing.cast(collector.Collector, None),
         )
         server = grpclib.server.Server([service])
         await server.start("127.0.0.1", 0)
@@ -172,6 +174,7 @@
         ),
         INTERVAL_SECONDS,
         links.LinkBounds("entry-1", len(ports)),
+        lambda news: None,
     )
     following = asyncio.ensure_future(table.run())
     await asyncio.sleep(WARM_UP_SECONDS)
--- a/experiments/registry.py
+++ b/experiments/registry.py
@@ -1,6 +1,16 @@
 """Every experiment, in the order in which they run."""
 
-from experiments import base, limits_split, overload, retrying, routing
+from experiments import (
+    append_batching,
+    bad_versions,
+    base,
+    cascade_cost,
+    limits_split,
+    overload,
+    retrying,
+    routing,
+    spreading,
+)
 
 
 def list_experiments() -> tuple[base.Experiment, ...]:
@@ -10,4 +20,8 @@
         limits_split.LimitsSplitExperiment(),
         overload.OverloadExperiment(),
         retrying.RetryExperiment(),
+        bad_versions.BadVersions(),
+        cascade_cost.CascadeCost(),
+        append_batching.AppendBatching(),
+        spreading.Spreading(),
     )
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -12,6 +12,7 @@
 
 from wagtailstream_agent import (
     claims,
+    collector,
     engine,
     gate,
     grpc_service,
@@ -27,6 +28,8 @@
     clock,
     configuration,
     errors,
+    tallies,
+    tally_codec,
     wire_codec,
     wire_pb2,
     work,
@@ -63,7 +66,8 @@
         self._socket = factory.bind(agent_settings)
         self._clock = clock.SystemClock()
         self._metrics = factory.make_metrics(agent_settings)
-        self._log = log_client.HttpLogClient(str(agent_settings.platform.log))
+        direct = log_client.HttpLogClient(str(agent_settings.platform.log))
+        self._log = factory.make_log(agent_settings, direct, self._metrics)
         self._follower = follower.Follower(
             self._log,
             agent_settings.load_keyring(),
@@ -109,6 +113,7 @@
         )
         self._loader: loader.Loader | None = None
         self._runner = self._make_runner()
+        self._board = tallies.TallyBoard(agent_settings.instance)
         self._service = grpc_service.AgentService(
             self._runner,
             self._follower,
@@ -118,6 +123,10 @@
             self._clock,
             self._strikes,
             self._alarm,
+            self._board,
+            collector.Collector(
+                direct, agent_settings.collector_window_seconds, self._metrics
+            ),
         )
         self._is_draining = False
         self._sequence = 0
@@ -257,6 +266,9 @@
                 for priority, queued in self._slots.count_queued().items()
             ],
             stalled=self._stall_watch.is_stalled,
+            tallies=tally_codec.encode_tallies(
+                self._board.list_shared(self._clock.monotonic())
+            ),
         )
 
     def _read_gauges(self) -> reporter.Reading:
@@ -280,6 +292,7 @@
         self._start(self._follower.run())
         self._start(self._keeper.run())
         self._start(self._outbox.run())
+        self._start(self._log.run())
         self._start(reporter.Reporter(self._metrics, self._read_gauges).run())
         if self._loader is not None:
             self._start(self._loader.run())
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -12,12 +12,14 @@
 import grpclib.events
 import grpclib.server
 
-from wagtailstream_agent import execution, results, runner
+from wagtailstream_agent import collector, execution, results, runner
 from wagtailstream_core import (
     clock,
     demand,
     errors,
     ledger,
+    tallies,
+    tally_codec,
     wire_codec,
     wire_grpc,
     wire_pb2,
@@ -45,6 +47,9 @@
 PullStream = grpclib.server.Stream[
     wire_pb2.ConfigurationPosition, wire_pb2.ConfigurationRecords
 ]
+CollectStream = grpclib.server.Stream[
+    wire_pb2.CollectRequest, wire_pb2.CollectReply
+]
 FetchStream = grpclib.server.Stream[
     wire_pb2.ResultRequest, wire_pb2.ResultReply
 ]
@@ -61,6 +66,8 @@
     :param system_clock: tells the time.
     :param strikes: the strikes that this agent knows.
     :param news_alarm: rings when a heartbeat should not wait.
+    :param record_collector: joins others' bills and claims.
+    :param board: relays the counts per version between entries.
     """
 
     def __init__(
@@ -73,6 +80,8 @@
         system_clock: clock.Clock,
         strikes: strike_board.StrikeBoard,
         news_alarm: alarm.Alarm,
+        board: tallies.TallyBoard,
+        record_collector: collector.Collector,
     ) -> None:
         self._runner = attempt_runner
         self._follower = config_follower
@@ -83,6 +92,8 @@
         self._demands = demand.DemandBoard(SILENCE_SECONDS)
         self._strikes = strikes
         self._alarm = news_alarm
+        self._board = board
+        self._collector = record_collector
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
             collections.defaultdict(set)
         )
@@ -226,6 +237,10 @@
             wire_codec.decode_demands(message.demands),
             self._clock.monotonic(),
         )
+        self._board.merge(
+            tally_codec.decode_tallies(message.tallies),
+            self._clock.monotonic(),
+        )
 
     def _make_heartbeat_for(self, peer: "_Peer") -> wire_pb2.Heartbeat:
         message = self._make_heartbeat()
@@ -274,6 +289,16 @@
         )
         await stream.send_message(_encode_result(self._results.find(key)))
 
+    async def Collect(self, stream: CollectStream) -> None:  # noqa: N802
+        """Append another instance's record, joined with others'.
+
+        :param stream: the record in, where it landed out.
+        """
+        message = await stream.recv_message()
+        if message is None:
+            return
+        await stream.send_message(await self._collector.collect(message))
+
 
 @dataclasses.dataclass
 class _Peer:
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -10,6 +10,7 @@
     admission,
     assembly,
     clock,
+    configuration,
     errors,
     retries,
     routing,
@@ -354,7 +355,7 @@
         refusal = await self._describe_failure(
             leg.link, error, leg.is_accepted
         )
-        return work.Refused(refusal, -1)
+        return work.Refused(refusal, configuration.NO_OFFSET)
 
     def _refuse_late(self) -> errors.Refusal:
         return errors.Refusal(
@@ -397,6 +398,8 @@
                 )
             answer = await self._next_answer(leg)
         self._catch_up(leg.link, answer.configuration_offset)
+        if _is_said_by_agent(answer):
+            item.target.note_failed()
         await self._note_refused(item, leg.link, answer.refusal)
         return expression.Error(answer.refusal)
 
@@ -434,3 +437,11 @@
                 endpoint = link.state.endpoint if link.state else ""
                 await self._quarantine.note_death(item.digest, endpoint)
         item.tried.add(link.address)
+
+
+def _is_said_by_agent(answer: work.Refused) -> bool:
+    """Return whether an agent, not a broken connection, tells of a failure."""
+    return (
+        answer.refusal.reason is errors.Reason.ENDPOINT_FAILED
+        and answer.configuration_offset != configuration.NO_OFFSET
+    )
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -25,6 +25,10 @@
 LATE_HEARTBEATS = 2.0
 HEARTBEAT_SLACK_SECONDS = 0.1
 
+TallyTaker = collections.abc.Callable[
+    [collections.abc.Iterable[wire_pb2.VersionTally]], None
+]
+
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -50,6 +54,7 @@
     :param watch_settings: how connections are watched.
     :param refresh_seconds: the time between looks at the list.
     :param bounds: which part of a large fleet this entry links to.
+    :param take_tallies: takes the counts that heartbeats carry.
     :param context: for TLS; None for plain connections.
     """
 
@@ -62,6 +67,7 @@
         watch_settings: connection.WatchSettings,
         refresh_seconds: float,
         bounds: LinkBounds,
+        take_tallies: TallyTaker,
         context: ssl.SSLContext | None = None,
     ) -> None:
         self._context = context
@@ -79,6 +85,7 @@
         self._authenticator = authenticator
         self._clock = system_clock
         self._watch_settings = watch_settings
+        self._take_tallies = take_tallies
 
     @property
     def follower(self) -> follower.Follower:
@@ -244,6 +251,7 @@
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
+        self._take_tallies(message.tallies)
         own = self._follower.state.offset
         if message.configuration_offset > own:
             self.spawn(link.pull_configuration())
--- a/packages/wagtailstream-entry/wagtailstream_entry/target.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/target.py
@@ -1,5 +1,6 @@
 """Where a piece of work may run, and what stands before it there."""
 
+import collections.abc
 import dataclasses
 
 from wagtailstream_core import admission, bundle, configuration
@@ -12,11 +13,13 @@
 
     :param endpoints: the names of the endpoints that the bundle allows.
     :param version: the version that must be loaded; None for a service.
+    :param note_failed: called where an agent says that its endpoint failed.
     """
 
     endpoints: frozenset[str]
     version: configuration.ModelVersion | None
     prefix_hash: int
+    note_failed: collections.abc.Callable[[], None] = lambda: None
 
     def admits(self, state: agent_state.AgentState) -> bool:
         """Return whether an agent's endpoint may take the work.
