Keep bills, claims and "not run" true under failure

Cause: reading the modules as an adversary. Found and mended: - Two flushes of the outbox at once, as at shutdown, raised KeyError. - A request whose escalation or later version was refused said "not-run" after its first rung had run: attempts that may have run were counted per dispatch, now per request. - Any one open run counted as the second holder of all costs; now the whole bill is handed over and confirmed before the end is released. - The same key with another body was answered with the first one's answer; now idempotency-key-reused, under another request identifier. - The completion record replaced bytes that are not UTF-8, and its resend billed a second attempt; it now holds bytes and cost. - Results were kept by key, so a loser could get another try's; now by claim, and known from before the append. - A reader overtaken by retention between append and verdict won a claim. - A late copy of a winning claim made it "expired". - A corrupt answer was resumed from its end and passed as whole. - The bill fold depended on the order of records; it now joins. - Abandonments waited for a timer and were dropped at shutdown.

--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -76,7 +76,6 @@
             self._runner,
             self._follower,
             self._outbox,
-            self._results,
             self._make_heartbeat,
         )
         self._is_draining = False
@@ -257,10 +256,17 @@
                 extra={"open": self._service.open_count},
             )
 
+    @property
+    def _abandoning_count(self) -> int:
+        if not isinstance(self._runner, runner.ServiceRunner):
+            return 0
+        claim_ledger = self._runner.claim_ledger
+        return claim_ledger.abandoning_count if claim_ledger else 0
+
     async def _flush(self) -> None:
         try:
             async with asyncio.timeout(FLUSH_LIMIT_SECONDS):
-                while self._outbox.waiting_count:
+                while self._outbox.waiting_count or self._abandoning_count:
                     await self._outbox.flush()
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
         except TimeoutError:
--- a/packages/wagtailstream-agent/wagtailstream_agent/claims.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/claims.py
@@ -10,7 +10,8 @@
 from wagtailstream_platform import log_client
 
 APPEND_RETRY_SECONDS = 0.1
-ABANDON_RETRY_SECONDS = 0.5
+ABANDON_RETRY_SECONDS = 0.25
+COMPLETION_WAIT_SECONDS = 0.5
 READ_RETRY_SECONDS = 0.2
 BATCH_WINDOW_SECONDS = 0.005
 MAX_BATCH_ENTRIES = 200
@@ -48,6 +49,7 @@
         self._batch: list[_Pending] = []
         self._batch_added = asyncio.Event()
         self._abandoning: dict[str, ledger.Abandonment] = {}
+        self._abandon_added = asyncio.Event()
 
     @property
     def is_complete(self) -> bool:
@@ -57,7 +59,17 @@
         if not self._misses_earlier:
             return True
         waited = self._clock.wall() - self._started_at
-        return waited > self._window_seconds
+        return waited > self._horizon_seconds
+
+    @property
+    def _horizon_seconds(self) -> float:
+        """Beyond which age a claim can't count by anybody's clock."""
+        return self._window_seconds + 2 * clock.MAX_CLOCK_SKEW_SECONDS
+
+    @property
+    def abandoning_count(self) -> int:
+        """How many abandonments the log does not hold yet."""
+        return len(self._abandoning)
 
     @property
     def window_seconds(self) -> float:
@@ -93,20 +105,27 @@
         :raises errors.LogUnavailableError: it can't be told in time; the
             claim is being abandoned and must not be dispatched.
         """
-        if not self.is_complete:
-            raise errors.LogUnavailableError(
-                "claim", self._stream, "the ledger is not complete yet"
-            )
+        self._require_complete()
         try:
             async with asyncio.timeout(deadline - self._clock.wall()):
-                return await self._claim_until_known(claim)
-        except (TimeoutError, asyncio.CancelledError) as error:
+                state = await self._claim_until_known(claim)
+            # The reader may have fallen behind retention meanwhile.
+            self._require_complete()
+        except TimeoutError as error:
             self.abandon(claim)
-            if isinstance(error, asyncio.CancelledError):
-                raise
             raise errors.LogUnavailableError(
                 "claim", self._stream, "no verdict in time"
             ) from error
+        except (asyncio.CancelledError, errors.LogUnavailableError):
+            self.abandon(claim)
+            raise
+        return state
+
+    def _require_complete(self) -> None:
+        if not self.is_complete:
+            raise errors.LogUnavailableError(
+                "claim", self._stream, "the ledger is not complete"
+            )
 
     async def _claim_until_known(
         self, claim: ledger.Claim
@@ -118,7 +137,12 @@
                 await asyncio.sleep(APPEND_RETRY_SECONDS)
                 continue
             await self._wait_folded(appended.offset)
-            return self._ledger.find_state(claim)
+            state = self._ledger.find_state(claim)
+            if state is ledger.ClaimState.UNSEEN:
+                raise errors.LogUnavailableError(
+                    "claim", self._stream, "the claim was dropped unread"
+                )
+            return state
 
     def abandon(self, claim: ledger.Claim) -> None:
         """Give a claim up before its dispatch; appended in the background.
@@ -131,19 +155,26 @@
             idempotency_key=claim.idempotency_key,
             claim_id=claim.claim_id,
         )
+        self._abandon_added.set()
 
     async def complete(self, completion: ledger.Completion) -> None:
         """Append the answer of a claimed request; losing it is harmless.
 
+        A slow log holds the caller up for a short time only.
+
         :param completion: the answer to keep.
         """
         try:
-            await self._append(completion)
-        except errors.LogUnavailableError as error:
+            async with asyncio.timeout(COMPLETION_WAIT_SECONDS):
+                await self._append(completion, is_kept=True)
+        except (errors.LogUnavailableError, TimeoutError) as error:
             _LOGGER.debug("completion lost", extra={"detail": str(error)})
 
-    async def _append(self, entry: ledger.Entry) -> log_client.Appended:
-        pending = _Pending(entry, asyncio.get_running_loop().create_future())
+    async def _append(
+        self, entry: ledger.Entry, is_kept: bool = False
+    ) -> log_client.Appended:
+        future = asyncio.get_running_loop().create_future()
+        pending = _Pending(entry, future, is_kept)
         self._batch.append(pending)
         self._batch_added.set()
         return await pending.appended
@@ -179,7 +210,7 @@
     def _note_gap(self, part: log_client.Slice) -> None:
         """Judge whether claims that may still count were dropped."""
         times = [record.time for record in part.records]
-        if times and times[0] < self._clock.wall() - self._window_seconds:
+        if times and times[0] < self._clock.wall() - self._horizon_seconds:
             return
         self._misses_earlier = True
         self._started_at = self._clock.wall()
@@ -200,11 +231,15 @@
         while True:
             await self._batch_added.wait()
             await asyncio.sleep(BATCH_WINDOW_SECONDS)
-            batch = self._batch[:MAX_BATCH_ENTRIES]
-            self._batch = self._batch[MAX_BATCH_ENTRIES:]
+            wanted = [p for p in self._batch if p.is_wanted]
+            batch, self._batch = (
+                wanted[:MAX_BATCH_ENTRIES],
+                wanted[MAX_BATCH_ENTRIES:],
+            )
             if not self._batch:
                 self._batch_added.clear()
-            await self._write(batch)
+            if batch:
+                await self._write(batch)
 
     async def _write(self, batch: "list[_Pending]") -> None:
         try:
@@ -224,8 +259,12 @@
     async def run_abandoner(self) -> None:
         """Append abandonments until the log has them, until cancelled."""
         while True:
-            await asyncio.sleep(ABANDON_RETRY_SECONDS)
+            await self._abandon_added.wait()
+            self._abandon_added.clear()
             await self.flush_abandonments()
+            if self._abandoning:
+                self._abandon_added.set()
+                await asyncio.sleep(ABANDON_RETRY_SECONDS)
 
     async def flush_abandonments(self) -> None:
         """Append the abandonments that wait, if the log takes them."""
@@ -239,7 +278,7 @@
         except errors.LogUnavailableError:
             return
         for claim_id in waiting:
-            del self._abandoning[claim_id]
+            self._abandoning.pop(claim_id, None)
 
     def list_tasks(
         self,
@@ -252,3 +291,9 @@
 class _Pending:
     entry: ledger.Entry
     appended: asyncio.Future[log_client.Appended]
+    is_kept: bool
+
+    @property
+    def is_wanted(self) -> bool:
+        """Whether it is still to be appended."""
+        return self.is_kept or not self.appended.cancelled()
--- a/packages/wagtailstream-agent/wagtailstream_agent/execution.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/execution.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import logging
 
 from wagtailstream_agent import runner
@@ -48,6 +49,7 @@
         )
         self._is_detached = False
         self._is_settled = False
+        self._costs: tuple[billing.AttemptCost, ...] = ()
         self._task = asyncio.ensure_future(self._run())
 
     @property
@@ -59,14 +61,20 @@
         """Return the next frame of the answer, or None after the last."""
         return await self._frames.get()
 
-    def settle(self, is_durable: bool) -> None:
+    def settle(
+        self,
+        is_durable: bool,
+        costs: collections.abc.Sequence[billing.AttemptCost],
+    ) -> None:
         """Note that the entry has the bill of the whole request.
 
         :param is_durable: whether the log holds it; otherwise this agent
-            holds its part too.
+            holds the whole bill too.
+        :param costs: what the entry knows of the request.
         """
         if is_durable:
             self._is_settled = True
+        self._costs = tuple(costs)
 
     async def finish(self) -> None:
         """End the attempt after its connection; bill what is not settled."""
@@ -75,12 +83,19 @@
         if not self._task.done():
             self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
-        if self._meter.cost is not None and not self._is_settled:
+        if not self._is_settled:
+            self._bill()
+
+    def _bill(self) -> None:
+        costs = self._costs
+        if self._meter.cost is not None:
+            costs += (self._meter.cost,)
+        if costs:
             self._outbox.add(
                 billing.Bill(
                     customer=self._attempt.customer,
                     request_id=self._attempt.request_id,
-                    attempts=(self._meter.cost,),
+                    attempts=costs,
                 )
             )
 
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -46,7 +46,6 @@
     :param attempt_runner: runs attempts.
     :param config_follower: holds the configuration in force.
     :param outbox: holds bills until they are durable.
-    :param result_table: keeps the results of claimed requests.
     :param make_heartbeat: returns this agent's present state.
     """
 
@@ -55,13 +54,11 @@
         attempt_runner: runner.Runner,
         config_follower: follower.Follower,
         outbox: bill_outbox.BillOutbox,
-        result_table: results.ResultTable,
         make_heartbeat: HeartbeatMaker,
     ) -> None:
         self._runner = attempt_runner
         self._follower = config_follower
         self._outbox = outbox
-        self._results = result_table
         self._make_heartbeat = make_heartbeat
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
             collections.defaultdict(set)
@@ -141,7 +138,13 @@
                 case "cancel":
                     return
                 case "settled":
-                    running.settle(frame.settled.is_durable)
+                    running.settle(
+                        frame.settled.is_durable,
+                        [
+                            wire_codec.decode_cost(cost)
+                            for cost in frame.settled.costs
+                        ],
+                    )
                     return
 
     async def Watch(self, stream: WatchStream) -> None:  # noqa: N802
@@ -208,7 +211,8 @@
         key = ledger.ClaimKey(
             message.customer, message.service, message.idempotency_key
         )
-        await stream.send_message(_encode_result(self._results.find(key)))
+        found = self._runner.find_result(key, message.claim_id)
+        await stream.send_message(_encode_result(found))
 
 
 def _find_link(stream: RunStream | WatchStream) -> str:
--- a/packages/wagtailstream-agent/wagtailstream_agent/results.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/results.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from wagtailstream_core import billing, errors, ledger
+from wagtailstream_core import billing, errors
 
 MAX_RESULTS = 2000
 
@@ -21,27 +21,27 @@
 
 
 class ResultTable:
-    """The latest results, by key, within a bound."""
+    """The latest results, by claim, within a bound."""
 
     def __init__(self) -> None:
-        self._results: collections.OrderedDict[ledger.ClaimKey, Result] = (
+        self._results: collections.OrderedDict[str, Result] = (
             collections.OrderedDict()
         )
 
-    def put(self, key: ledger.ClaimKey, result: Result) -> None:
+    def put(self, claim_id: str, result: Result) -> None:
         """Keep a result; the oldest goes once there are too many.
 
-        :param key: the key that the request claimed.
+        :param claim_id: the claim of the request.
         :param result: where it stands.
         """
-        self._results[key] = result
-        self._results.move_to_end(key)
+        self._results[claim_id] = result
+        self._results.move_to_end(claim_id)
         while len(self._results) > MAX_RESULTS:
             self._results.popitem(last=False)
 
-    def find(self, key: ledger.ClaimKey) -> Result | None:
+    def find(self, claim_id: str) -> Result | None:
         """Return a result, or None.
 
-        :param key: the key that the request claimed.
+        :param claim_id: the claim of the request.
         """
-        return self._results.get(key)
+        return self._results.get(claim_id)
--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -122,6 +122,16 @@
         finally:
             self._slots.release()
 
+    def find_result(
+        self, key: ledger.ClaimKey, claim_id: str
+    ) -> results.Result | None:
+        """Return where a claimed request stands, or None if not known.
+
+        :param key: the key that the request claimed.
+        :param claim_id: the claim.
+        """
+        return None
+
     async def _acquire(self, attempt: work.Attempt) -> None:
         try:
             async with asyncio.timeout(
@@ -271,7 +281,9 @@
                 "cached_tokens": done.cached_tokens,
             }
         )
-        await emit(work.Ended(done.count, digest.digest(), meter.cost))
+        await emit(
+            work.Ended(attempt.number, done.count, digest.digest(), meter.cost)
+        )
 
 
 class ServiceRunner(Runner):
@@ -311,6 +323,31 @@
     def claim_ledger(self, value: claims.ClaimLedger) -> None:
         self._ledger = value
 
+    def find_result(
+        self, key: ledger.ClaimKey, claim_id: str
+    ) -> results.Result | None:
+        """Return where a claimed request stands, or None if not known.
+
+        The claimant knows; of other requests the log may hold the answer.
+
+        :param key: the key that the request claimed.
+        :param claim_id: the claim.
+        """
+        found = self._results.find(claim_id)
+        if found is not None or self._ledger is None:
+            return found
+        kept = self._ledger.find_completion(key)
+        if kept is None or kept.claim_id != claim_id:
+            return None
+        return results.Result(
+            "",
+            errors.Outcome.COMPLETED,
+            False,
+            kept.status,
+            kept.body,
+            kept.cost,
+        )
+
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
     ) -> None:
@@ -321,10 +358,13 @@
             return
         claim_ledger = self._require_ledger()
         claim = self._make_claim(attempt, service_work, claim_ledger)
+        # Known from the first, for a loser that reads the log sooner.
+        self._note(claim, errors.Outcome.UNKNOWN, is_running=True)
         state = await self._claim(claim_ledger, claim, attempt)
         if state is ledger.ClaimState.WON:
             await self._run_claimed(claim_ledger, claim, attempt, emit, meter)
             return
+        self._note(claim, errors.Outcome.NOT_RUN)
         await self._answer_loser(claim_ledger, claim, attempt, emit, state)
 
     def _require_ledger(self) -> claims.ClaimLedger:
@@ -358,6 +398,7 @@
             claimant=self._address,
             request_id=attempt.request_id,
             key_time=checked.ok,
+            digest=work.identify(service_work),
         )
 
     async def _claim(
@@ -371,13 +412,28 @@
         )
         try:
             return await claim_ledger.claim(claim, deadline)
+        except asyncio.CancelledError:
+            self._note(claim, errors.Outcome.NOT_RUN)
+            raise
         except errors.LogUnavailableError as error:
+            self._note(claim, errors.Outcome.NOT_RUN)
             raise self._abort(
                 errors.Reason.LEDGER_UNAVAILABLE,
                 "the log takes no claims at the moment",
                 LEDGER_RETRY_SECONDS,
             ) from error
 
+    def _note(
+        self,
+        claim: ledger.Claim,
+        outcome: errors.Outcome,
+        is_running: bool = False,
+    ) -> None:
+        self._results.put(
+            claim.claim_id,
+            results.Result(claim.request_id, outcome, is_running),
+        )
+
     async def _run_claimed(
         self,
         claim_ledger: claims.ClaimLedger,
@@ -389,11 +445,8 @@
         verdict = self._keeper.check(attempt)
         if verdict.is_error():
             claim_ledger.abandon(claim)
+            self._note(claim, errors.Outcome.NOT_RUN)
             raise AttemptAbortedError(verdict.error)
-        self._results.put(
-            claim.key,
-            results.Result(claim.request_id, errors.Outcome.UNKNOWN, True),
-        )
         service_work = typing.cast(work.ServiceWork, attempt.work)
         dispatched = asyncio.ensure_future(
             self._dispatch_claimed(
@@ -419,12 +472,7 @@
         try:
             answer = await self._call(attempt, service_work, emit, meter)
         except plain_service.NotSentError as error:
-            self._results.put(
-                claim.key,
-                results.Result(
-                    claim.request_id, errors.Outcome.NOT_RUN, False
-                ),
-            )
+            self._note(claim, errors.Outcome.NOT_RUN)
             claim_ledger.abandon(claim)
             meter.cost = None
             raise self._abort(
@@ -433,12 +481,7 @@
                 LEDGER_RETRY_SECONDS,
             ) from error
         except (errors.PeerError, TimeoutError) as error:
-            self._results.put(
-                claim.key,
-                results.Result(
-                    claim.request_id, errors.Outcome.UNKNOWN, False
-                ),
-            )
+            self._note(claim, errors.Outcome.UNKNOWN)
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
             ) from error
@@ -453,7 +496,7 @@
         meter: Meter,
     ) -> None:
         self._results.put(
-            claim.key,
+            claim.claim_id,
             results.Result(
                 claim.request_id,
                 errors.Outcome.COMPLETED,
@@ -463,7 +506,7 @@
                 meter.cost,
             ),
         )
-        if len(answer.body) > MAX_KEPT_BODY_BYTES:
+        if meter.cost is None or len(answer.body) > MAX_KEPT_BODY_BYTES:
             return
         await claim_ledger.complete(
             ledger.Completion(
@@ -472,7 +515,8 @@
                 idempotency_key=claim.idempotency_key,
                 claim_id=claim.claim_id,
                 status=answer.status,
-                body=answer.body.decode("utf-8", "replace"),
+                body=answer.body,
+                cost=meter.cost,
             )
         )
 
@@ -492,11 +536,22 @@
                 f"the claim is {state.value}",
                 LEDGER_RETRY_SECONDS,
             )
+        winner = claim_ledger.find_winner(claim.key)
+        if winner is None:
+            raise self._abort(
+                errors.Reason.CLAIM_ABANDONED,
+                "the try that held the key gave up before it ran",
+                LEDGER_RETRY_SECONDS,
+            )
+        if winner.digest != claim.digest:
+            raise self._abort(
+                errors.Reason.IDEMPOTENCY_KEY_REUSED,
+                "this Idempotency-Key was sent with another request",
+            )
         completion = claim_ledger.find_completion(claim.key)
         if completion is not None:
             await self._answer_completion(attempt, completion, emit)
             return
-        winner = claim_ledger.find_winner(claim.key)
         raise AttemptAbortedError(
             errors.Refusal(
                 errors.Reason.CLAIM_LOST,
@@ -504,7 +559,8 @@
                 "another attempt holds this Idempotency-Key",
                 "claim",
                 self._keeper.name,
-                winner=winner.claimant if winner else "",
+                winner=winner.claimant,
+                winner_claim=winner.claim_id,
             )
         )
 
@@ -514,10 +570,11 @@
         completion: ledger.Completion,
         emit: Emit,
     ) -> None:
+        # Billed as what it is: the attempt that ran, by whichever try.
         meter = Meter()
-        meter.cost = self._make_cost(attempt)
+        meter.cost = completion.cost
         answer = plain_service.ServiceAnswer(
-            completion.status, completion.body.encode()
+            completion.status, completion.body
         )
         await self._send_answer(attempt, answer, emit, meter)
 
@@ -584,6 +641,7 @@
         )
         await emit(
             work.Ended(
+                attempt.number,
                 1,
                 hashlib.sha256(answer.body).digest(),
                 meter.cost,
--- a/packages/wagtailstream-core/wagtailstream_core/assembly.py
+++ b/packages/wagtailstream-core/wagtailstream_core/assembly.py
@@ -74,8 +74,8 @@
         """Take in a chunk and return what can now be released, in order.
 
         :param chunk: the chunk.
-        :raises errors.PeerError: too many chunks are missing before it, or
-            the answer's digest does not agree.
+        :raises errors.PeerError: too many chunks are missing before it.
+        :raises errors.CorruptAnswerError: the digest does not agree.
         """
         if not self._belongs(chunk.request_id, chunk.attempt):
             return []
@@ -92,7 +92,7 @@
         """Take in the end mark; chunks may still be missing.
 
         :param end: the end mark.
-        :raises errors.PeerError: the answer's digest does not agree.
+        :raises errors.CorruptAnswerError: the digest does not agree.
         """
         if self._belongs(end.request_id, end.attempt):
             self._end = end
@@ -114,4 +114,6 @@
         if not self.is_complete or self._end is None:
             return
         if self._digest.digest() != self._end.digest:
-            raise errors.PeerError("assemble", "agent", "digest differs")
+            raise errors.CorruptAnswerError(
+                "assemble", "agent", "digest differs"
+            )
--- a/packages/wagtailstream-core/wagtailstream_core/billing.py
+++ b/packages/wagtailstream-core/wagtailstream_core/billing.py
@@ -32,6 +32,26 @@
     cached_tokens: int = 0
     answer_tokens: int = 0
 
+    def _get_place(self) -> tuple[str, str, str, str]:
+        return (self.endpoint, self.model, self.version, self.service)
+
+    def join(self, other: "AttemptCost") -> "AttemptCost":
+        """Return what two holders together know of the same attempt.
+
+        The order does not matter: each count only grows while an attempt
+        runs, so the larger one is the later one.
+
+        :param other: the same attempt as another holder knows it.
+        """
+        first = min(self, other, key=AttemptCost._get_place)
+        return first.model_copy(
+            update={
+                "prompt_tokens": max(self.prompt_tokens, other.prompt_tokens),
+                "cached_tokens": max(self.cached_tokens, other.cached_tokens),
+                "answer_tokens": max(self.answer_tokens, other.answer_tokens),
+            }
+        )
+
 
 class Bill(pydantic.BaseModel):
     """The costs of a request as one holder knows them."""
@@ -93,14 +113,15 @@
         return tuple(self._attempts)
 
     def fold(self, bill: Bill) -> None:
-        """Take in a bill; an attempt known already stays as it was.
+        """Take in a bill; repeats, in whatever order, change nothing.
 
         :param bill: the bill.
         """
         key = BillKey(bill.customer, bill.request_id)
         attempts = self._attempts.setdefault(key, {})
         for cost in bill.attempts:
-            attempts.setdefault(cost.attempt, cost)
+            known = attempts.get(cost.attempt, cost)
+            attempts[cost.attempt] = known.join(cost)
 
     def find_bill(self, key: BillKey) -> Bill | None:
         """Return the joined bill of a request, or None.
--- a/packages/wagtailstream-core/wagtailstream_core/errors.py
+++ b/packages/wagtailstream-core/wagtailstream_core/errors.py
@@ -28,6 +28,7 @@
     ENDPOINT_FULL = "endpoint-full"
     IDEMPOTENCY_KEY_INVALID = "idempotency-key-invalid"
     IDEMPOTENCY_KEY_MISSING = "idempotency-key-missing"
+    IDEMPOTENCY_KEY_REUSED = "idempotency-key-reused"
     IDEMPOTENCY_KEY_STALE = "idempotency-key-stale"
     INTERNAL = "internal"
     LEDGER_UNAVAILABLE = "ledger-unavailable"
@@ -57,6 +58,7 @@
     :param peer: the instance at which it arose.
     :param retry_at: Unix time in seconds from which to come back.
     :param winner: address of the agent that holds the winning claim.
+    :param winner_claim: the identifier of that claim.
     """
 
     reason: Reason
@@ -66,6 +68,7 @@
     peer: str
     retry_at: float | None = None
     winner: str = ""
+    winner_claim: str = ""
 
 
 def not_run(
@@ -133,3 +136,7 @@
 
 class PeerError(WagtailstreamError):
     """A peer that failed, closed its connection or went silent."""
+
+
+class CorruptAnswerError(PeerError):
+    """An answer whose digest differs; what was released can't be mended."""
--- a/packages/wagtailstream-core/wagtailstream_core/ledger.py
+++ b/packages/wagtailstream-core/wagtailstream_core/ledger.py
@@ -11,8 +11,10 @@
 
 import pydantic
 
-from wagtailstream_core import errors
+from wagtailstream_core import billing, errors
 
+KeyT = typing.TypeVar("KeyT")
+ValueT = typing.TypeVar("ValueT")
 STREAM_PREFIX = "claims."
 
 
@@ -39,6 +41,8 @@
     :param claim_id: unique to this try; repeats of the append share it.
     :param claimant: the address of the agent that would run the request.
     :param key_time: the Unix time within the idempotency key.
+    :param digest: of what the key was sent with; a key sent again with
+        anything else is refused.
     """
 
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
@@ -51,6 +55,7 @@
     claimant: str
     request_id: str
     key_time: float
+    digest: str = ""
 
     @property
     def key(self) -> ClaimKey:
@@ -76,9 +81,18 @@
 
 
 class Completion(pydantic.BaseModel):
-    """Keeps the answer of a claimed request for callers that come back."""
+    """Keeps the answer of a claimed request for callers that come back.
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    :param body: the answer's bytes, in base64 within the record.
+    :param cost: what the attempt that ran used.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra="forbid",
+        frozen=True,
+        ser_json_bytes="base64",
+        val_json_bytes="base64",
+    )
 
     kind: typing.Literal["completion"] = "completion"
     customer: str
@@ -86,7 +100,8 @@
     idempotency_key: str
     claim_id: str
     status: int
-    body: str
+    body: bytes
+    cost: billing.AttemptCost
 
     @property
     def key(self) -> ClaimKey:
@@ -147,6 +162,11 @@
     lost: set[str] = dataclasses.field(default_factory=set)
     completion: Completion | None = None
 
+    def knows(self, claim_id: str) -> bool:
+        if self.winner is not None and self.winner.claim_id == claim_id:
+            return True
+        return claim_id in self.abandoned or claim_id in self.lost
+
 
 class Ledger:
     """The state that the claims of one service fold into.
@@ -179,15 +199,19 @@
                 self._fold_completion(entry)
 
     def _fold_claim(self, claim: Claim, log_time: float) -> None:
+        state = self._keys.get(claim.key)
+        if claim.claim_id in self._expired:
+            return
+        if state is not None and state.knows(claim.claim_id):
+            return
         if log_time - claim.key_time > self._window_seconds:
             self._expired[claim.claim_id] = log_time
             return
-        state = self._keys.setdefault(claim.key, _KeyState(claim.key_time))
-        if claim.claim_id in state.abandoned | state.lost:
-            return
+        if state is None:
+            state = self._keys[claim.key] = _KeyState(claim.key_time)
         if state.winner is None:
             state.winner = claim
-        elif state.winner.claim_id != claim.claim_id:
+        else:
             state.lost.add(claim.claim_id)
 
     def _fold_abandonment(self, entry: Abandonment, log_time: float) -> None:
@@ -246,13 +270,12 @@
         :param now: the time of the newest record folded, Unix seconds.
         """
         earliest = now - 2 * self._window_seconds
-        self._keys = {
-            key: state
-            for key, state in self._keys.items()
-            if state.key_time > earliest
-        }
-        self._expired = {
-            claim_id: seen
-            for claim_id, seen in self._expired.items()
-            if seen > earliest
-        }
+        # Both are in the order first seen, so a look at the oldest will do.
+        while self._keys and _find_first(self._keys).key_time <= earliest:
+            del self._keys[next(iter(self._keys))]
+        while self._expired and _find_first(self._expired) <= earliest:
+            del self._expired[next(iter(self._expired))]
+
+
+def _find_first(items: dict[KeyT, ValueT]) -> ValueT:
+    return next(iter(items.values()))
--- a/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
@@ -180,6 +180,7 @@
             configuration_offset=refused.configuration_offset,
             winner=refusal.winner,
             step=refusal.step,
+            winner_claim=refusal.winner_claim,
         )
     )
 
@@ -203,6 +204,7 @@
             )
         case "end":
             return work.Ended(
+                frame.end.attempt,
                 frame.end.count,
                 frame.end.digest,
                 decode_cost(frame.end.cost),
@@ -229,6 +231,7 @@
             peer,
             retry_at,
             refused.winner,
+            refused.winner_claim,
         ),
         refused.configuration_offset,
     )
--- a/packages/wagtailstream-core/wagtailstream_core/work.py
+++ b/packages/wagtailstream-core/wagtailstream_core/work.py
@@ -63,11 +63,15 @@
 class Ended:
     """The end of an attempt's answer.
 
+    :param attempt: the number of the attempt that sent it.
     :param count: the number of chunks of the whole answer.
     :param digest: SHA-256 over the chunks that this attempt sent.
+    :param cost: of the attempt that ran, which is another one where the
+        answer to an earlier try is repeated.
     :param status: the HTTP status of a plain service's answer.
     """
 
+    attempt: int
     count: int
     digest: bytes
     cost: billing.AttemptCost
@@ -92,3 +96,13 @@
     else:
         body = f"service\0{item.operation}\0".encode() + item.body
     return hashlib.sha256(body).hexdigest()
+
+
+def identify(item: ServiceWork) -> str:
+    """Return the digest of all that an idempotency key stands for.
+
+    :param item: the call; its key does not matter.
+    """
+    parts = (item.service, item.operation, item.method)
+    text = "\0".join(parts).encode() + b"\0" + item.body
+    return hashlib.sha256(text).hexdigest()
--- a/packages/wagtailstream-entry/wagtailstream_entry/connection.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -15,7 +15,14 @@
 import grpclib.client
 import grpclib.exceptions
 
-from wagtailstream_core import errors, wire_codec, wire_grpc, wire_pb2, work
+from wagtailstream_core import (
+    billing,
+    errors,
+    wire_codec,
+    wire_grpc,
+    wire_pb2,
+    work,
+)
 from wagtailstream_platform import auth
 
 SILENCE_SECONDS = 3.0
@@ -265,22 +272,33 @@
             raise errors.PeerError("receive", self._address, "cut short")
         return wire_codec.decode_answer(frame, self._address)
 
-    async def settle(self, is_durable: bool) -> None:
+    async def settle(
+        self,
+        is_durable: bool,
+        costs: collections.abc.Sequence[billing.AttemptCost],
+    ) -> bool:
         """Tell the agent that the bill is taken care of, and close.
 
-        :param is_durable: whether the log holds the bill.
+        :param is_durable: whether the log holds the bill; otherwise the
+            agent is asked to hold it too.
+        :param costs: all that the bill holds.
+        :returns: whether the agent has confirmed it.
         """
+        is_confirmed = False
         if self._stream is not None and self.is_alive:
+            settled = wire_pb2.Settled(
+                is_durable=is_durable,
+                costs=[wire_codec.encode_cost(cost) for cost in costs],
+            )
             with contextlib.suppress(*FAULTS):
                 async with asyncio.timeout(CALL_TIMEOUT_SECONDS):
                     await self._stream.send_message(
-                        wire_pb2.RunFrame(
-                            settled=wire_pb2.Settled(is_durable=is_durable)
-                        ),
-                        end=True,
+                        wire_pb2.RunFrame(settled=settled), end=True
                     )
                     await self._stream.recv_trailing_metadata()
+                    is_confirmed = True
         await self.close()
+        return is_confirmed
 
     async def close(self) -> None:
         """Cancel the attempt if it is still under way; the agent bills."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -22,6 +22,7 @@
 
 STEP = "dispatch"
 MAX_ATTEMPTS = 5
+REFUSAL_GRACE_SECONDS = 0.25
 RETRY_SECONDS = 2.0
 RETRY_SHARE = 0.2
 RETRY_BURST = 20.0
@@ -148,7 +149,7 @@
             if outcome.is_ok():
                 return outcome
             if not self._may_retry(job, outcome.error):
-                return expression.Error(job.finish_refusal(outcome.error))
+                return expression.Error(request.finish_refusal(outcome.error))
             self._metrics.count(
                 metrics.Metric.RETRIED, outcome.error.reason.value
             )
@@ -156,7 +157,7 @@
     def _may_retry(self, job: "_Job", refusal: errors.Refusal) -> bool:
         if refusal.reason not in RETRIABLE or refusal is job.exhausted:
             return False
-        if job.attempts >= MAX_ATTEMPTS:
+        if job.attempts >= MAX_ATTEMPTS or job.is_corrupt:
             return False
         if self._clock.wall() >= job.request.deadline:
             return False
@@ -171,6 +172,7 @@
         try:
             outcome = await self._attempt(job, link)
         except errors.PeerError as error:
+            job.is_corrupt = isinstance(error, errors.CorruptAnswerError)
             outcome = expression.Error(self._describe_failure(link, error))
         if outcome.is_error():
             await self._note_refused(job, link, outcome.error)
@@ -244,11 +246,13 @@
             request.customer.priority if request.customer else 0,
             job.make_work(position),
         )
-        job.unresolved += 1
+        request.unresolved += 1
         run = await link.open_run(attempt)
         try:
+            # The agent's own word at the deadline is worth a moment's wait.
             async with asyncio.timeout(
                 max(0.0, request.deadline - self._clock.wall())
+                + REFUSAL_GRACE_SECONDS
             ):
                 outcome = await self._receive(job, link, run)
         except TimeoutError:
@@ -308,8 +312,8 @@
         self, job: "_Job", link: links.AgentLink, refusal: errors.Refusal
     ) -> None:
         job.last_refusal = refusal
-        if refusal.outcome is errors.Outcome.NOT_RUN:
-            job.unresolved -= 1
+        if _did_not_run(refusal):
+            job.request.unresolved -= 1
         match refusal.reason:
             case errors.Reason.AGENT_BEHIND:
                 if await link.push_configuration():
@@ -377,6 +381,14 @@
     )
 
 
+def _did_not_run(refusal: errors.Refusal) -> bool:
+    # One that lost its claim did not run itself; the winner may have.
+    return (
+        refusal.outcome is errors.Outcome.NOT_RUN
+        or refusal.reason is errors.Reason.CLAIM_LOST
+    )
+
+
 class _Job:
     """The state of one piece of work over its attempts."""
 
@@ -393,8 +405,8 @@
         self.assembler = assembly.Assembler(request.request_id)
         self.tried: set[str] = set()
         self.attempts = 0
-        # Attempts of which it is not known that they did not run.
-        self.unresolved = 0
+        # Whether what was passed on differs from what was sent.
+        self.is_corrupt = False
         self.last_refusal: errors.Refusal | None = None
         self.exhausted: errors.Refusal | None = None
         self._sink = sink
@@ -410,15 +422,6 @@
         """The customer's name."""
         return self.request.customer.name if self.request.customer else ""
 
-    def finish_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
-        """Return the final refusal: never "not run" if an attempt may have.
-
-        :param refusal: the last attempt's refusal.
-        """
-        if self.unresolved == 0:
-            return refusal
-        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
-
     async def write(
         self, pieces: collections.abc.Sequence[bytes], now: clock.Clock
     ) -> None:
@@ -444,7 +447,7 @@
         self.assembler.finish(
             assembly.EndMark(
                 self.request.request_id,
-                ended.cost.attempt,
+                ended.attempt,
                 ended.count,
                 ended.digest,
             )
--- a/packages/wagtailstream-entry/wagtailstream_entry/exchange.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/exchange.py
@@ -7,6 +7,7 @@
     billing,
     bundle,
     configuration,
+    errors,
     session,
     work,
 )
@@ -79,6 +80,7 @@
     :param sink: where the answer goes.
     :param costs: the cost of each attempt so far.
     :param runs: attempts whose agents wait for the bill.
+    :param unresolved: how many attempts are not known not to have run.
     """
 
     request_id: str
@@ -106,12 +108,22 @@
     attempt_count: int = 0
     first_token_at: float | None = None
     runs: list[connection.Run] = dataclasses.field(default_factory=list)
+    unresolved: int = 0
 
     @property
     def answer_tokens(self) -> int:
         """Tokens of all attempts so far."""
         return sum(cost.answer_tokens for cost in self.costs)
 
+    def finish_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
+        """Return the final refusal: never "not run" if an attempt may have.
+
+        :param refusal: why the request is given up.
+        """
+        if self.unresolved == 0:
+            return refusal
+        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
+
     def next_attempt(self) -> int:
         """Return the number of a new attempt."""
         number = self.attempt_count
--- a/packages/wagtailstream-entry/wagtailstream_entry/responses.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/responses.py
@@ -23,6 +23,7 @@
     errors.Reason.ENDPOINT_FAILED: 502,
     errors.Reason.IDEMPOTENCY_KEY_INVALID: 400,
     errors.Reason.IDEMPOTENCY_KEY_MISSING: 400,
+    errors.Reason.IDEMPOTENCY_KEY_REUSED: 422,
     errors.Reason.IDEMPOTENCY_KEY_STALE: 400,
     errors.Reason.INTERNAL: 500,
     errors.Reason.MALFORMED: 400,
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
@@ -47,6 +47,14 @@
 
         :param request: the request.
         """
+        verdict = await self._run_requested(request)
+        if verdict.is_error():
+            return expression.Error(request.finish_refusal(verdict.error))
+        return verdict
+
+    async def _run_requested(
+        self, request: exchange.Exchange
+    ) -> pipeline.Verdict:
         customer, known = request.customer, self._follower.state.bundle
         if customer is None or known is None:
             return expression.Error(self._refuse_unknown(request))
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
@@ -1,6 +1,7 @@
 """Runs an operation of a plain service."""
 
 import asyncio
+import contextlib
 import hashlib
 
 import expression
@@ -14,21 +15,31 @@
     wire_pb2,
     work,
 )
-from wagtailstream_entry import connection, dispatch, exchange, pipeline
+from wagtailstream_entry import (
+    connection,
+    dispatch,
+    exchange,
+    links,
+    pipeline,
+)
 from wagtailstream_platform import follower
 
 STEP = "service"
 POLL_SECONDS = 0.05
+MAX_CLAIM_TRIES = 5
+_UNKNOWN = wire_pb2.OUTCOME_UNKNOWN
+
 
+def derive_request_id(customer: str, wanted: work.ServiceWork) -> str:
+    """Return the request identifier that all tries of a request share.
 
-def derive_request_id(customer: str, service: str, key: str) -> str:
-    """Return the request identifier that all tries of a key share.
+    The same key with another body or operation is another request, which is
+    refused, and must not be taken for the one that ran.
 
     :param customer: the customer's name.
-    :param service: the service's name.
-    :param key: the idempotency key.
+    :param wanted: the call, its idempotency key included.
     """
-    text = f"{customer}\0{service}\0{key.lower()}"
+    text = f"{customer}\0{wanted.idempotency_key}\0{work.identify(wanted)}"
     return hashlib.sha256(text.encode()).hexdigest()[:32]
 
 
@@ -95,7 +106,7 @@
             key,
         )
         name = request.customer.name if request.customer else ""
-        request.request_id = derive_request_id(name, wanted.service, key)
+        request.request_id = derive_request_id(name, request.operation)
         return pipeline.PASSED
 
     def _refuse(self, reason: errors.Reason, message: str) -> pipeline.Verdict:
@@ -140,6 +151,25 @@
         target = dispatch.Target(
             dispatch.find_service_endpoints(known, wanted.service), None, 0
         )
+        for _ in range(MAX_CLAIM_TRIES):
+            verdict = await self._try_claim(request, wanted, target)
+            if verdict.is_ok() or not self._may_claim_anew(verdict.error):
+                break
+            await asyncio.sleep(POLL_SECONDS)
+        return verdict
+
+    def _may_claim_anew(self, refusal: errors.Refusal) -> bool:
+        return (
+            refusal.reason is errors.Reason.CLAIM_ABANDONED
+            and refusal.outcome is errors.Outcome.NOT_RUN
+        )
+
+    async def _try_claim(
+        self,
+        request: exchange.Exchange,
+        wanted: work.ServiceWork,
+        target: dispatch.Target,
+    ) -> pipeline.Verdict:
         outcome = await self._dispatcher.run(
             request, target, lambda _: wanted, request.sink
         )
@@ -147,13 +177,14 @@
             request.runs.append(outcome.ok.run)
             return pipeline.PASSED
         if outcome.error.reason is errors.Reason.CLAIM_LOST:
-            return await self._fetch(request, wanted, outcome.error)
+            return await self._fetch(request, wanted, target, outcome.error)
         return expression.Error(outcome.error)
 
     async def _fetch(
         self,
         request: exchange.Exchange,
         wanted: work.ServiceWork,
+        target: dispatch.Target,
         lost: errors.Refusal,
     ) -> pipeline.Verdict:
         """Fetch the answer from the agent that holds the winning claim."""
@@ -161,26 +192,27 @@
             customer=request.customer.name if request.customer else "",
             service=wanted.service,
             idempotency_key=wanted.idempotency_key,
+            claim_id=lost.winner_claim,
         )
-        try:
-            reply = await self._poll(request, query, lost.winner)
-        except errors.PeerError:
-            return self._refuse_unknown("the try that holds the key is gone")
+        reply = await self._poll(request, query, target, lost.winner)
         match wire_codec.decode_outcome(reply.outcome):
             case errors.Outcome.COMPLETED:
                 return await self._pass_on(request, reply)
             case errors.Outcome.NOT_RUN:
                 return expression.Error(
-                    errors.not_run(
-                        errors.Reason.CLAIM_ABANDONED,
-                        "the try that held the key gave up before it ran",
-                        STEP,
-                        self._peer,
-                        self._clock.wall() + dispatch.RETRY_SECONDS,
-                    )
+                    request.finish_refusal(self._refuse_abandoned())
                 )
         return self._refuse_unknown("whether the first try ran is not known")
 
+    def _refuse_abandoned(self) -> errors.Refusal:
+        return errors.not_run(
+            errors.Reason.CLAIM_ABANDONED,
+            "the try that held the key gave up before it ran",
+            STEP,
+            self._peer,
+            self._clock.wall() + dispatch.RETRY_SECONDS,
+        )
+
     def _refuse_unknown(self, message: str) -> pipeline.Verdict:
         return expression.Error(
             errors.unknown(errors.Reason.CLAIM_LOST, message, STEP, self._peer)
@@ -190,23 +222,44 @@
         self,
         request: exchange.Exchange,
         query: wire_pb2.ResultRequest,
+        target: dispatch.Target,
         winner: str,
     ) -> wire_pb2.ResultReply:
         while True:
-            reply = await self._ask(query, winner)
+            reply = await self._ask(query, target, winner)
             is_late = self._clock.wall() + POLL_SECONDS >= request.deadline
             if not reply.running or is_late:
                 return reply
             await asyncio.sleep(POLL_SECONDS)
 
     async def _ask(
-        self, query: wire_pb2.ResultRequest, winner: str
+        self,
+        query: wire_pb2.ResultRequest,
+        target: dispatch.Target,
+        winner: str,
     ) -> wire_pb2.ResultReply:
-        link = self._dispatcher.table.find_link(winner)
-        if link is None:
-            raise errors.PeerError("fetch result", winner, "not known")
-        source: connection.Connection = link.pick_any()
-        return await source.fetch_result(query)
+        """Ask the claimant; where it knows nothing, who read the log."""
+        for link in self._list_sources(target, winner):
+            with contextlib.suppress(errors.PeerError):
+                source: connection.Connection = link.pick_any()
+                reply = await source.fetch_result(query)
+                if reply.running or reply.outcome != _UNKNOWN:
+                    return reply
+        return wire_pb2.ResultReply(outcome=_UNKNOWN)
+
+    def _list_sources(
+        self, target: dispatch.Target, winner: str
+    ) -> list[links.AgentLink]:
+        table = self._dispatcher.table
+        claimant = table.find_link(winner)
+        others = [
+            link
+            for link in table.list_links()
+            if link is not claimant
+            and link.state is not None
+            and target.admits(link.state)
+        ]
+        return [claimant, *others] if claimant is not None else others
 
     async def _pass_on(
         self, request: exchange.Exchange, reply: wire_pb2.ResultReply
--- a/packages/wagtailstream-entry/wagtailstream_entry/settle.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settle.py
@@ -16,7 +16,8 @@
     """Bills a request.
 
     The end of the answer is released once the log holds the bill or, while
-    the log is slow or down, once both this entry and an agent hold it.
+    the log is slow or down, once an agent has confirmed that it holds the
+    whole bill too.
 
     :param outbox: holds bills until they are durable.
     :param system_clock: tells the time.
@@ -32,7 +33,7 @@
         self._outbox = outbox
         self._clock = system_clock
         self._peer = peer
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[bool]] = set()
 
     async def process(self, request: exchange.Exchange) -> pipeline.Verdict:
         """Bill the request.
@@ -48,14 +49,23 @@
                 attempts=tuple(request.costs),
             )
         )
-        is_durable = await self._wait(durable, DURABLE_WAIT_SECONDS)
-        if not is_durable and not any(run.is_alive for run in request.runs):
-            remaining = request.deadline - self._clock.wall()
-            is_durable = await self._wait(durable, max(0.0, remaining))
-            if not is_durable:
-                return self._refuse()
-        self._settle_in_background(request, is_durable)
-        return pipeline.PASSED
+        if await self._wait(durable, DURABLE_WAIT_SECONDS):
+            self._settle_in_background(request)
+            return pipeline.PASSED
+        if await self._hand_over(request):
+            return pipeline.PASSED
+        remaining = request.deadline - self._clock.wall()
+        if await self._wait(durable, max(0.0, remaining)):
+            return pipeline.PASSED
+        return self._refuse()
+
+    async def _hand_over(self, request: exchange.Exchange) -> bool:
+        """Return whether an agent has confirmed that it holds the bill."""
+        confirmed = await asyncio.gather(
+            *(run.settle(False, request.costs) for run in request.runs)
+        )
+        request.runs.clear()
+        return any(confirmed)
 
     async def _wait(
         self, durable: "asyncio.Future[None]", seconds: float
@@ -73,11 +83,9 @@
             )
         )
 
-    def _settle_in_background(
-        self, request: exchange.Exchange, is_durable: bool
-    ) -> None:
+    def _settle_in_background(self, request: exchange.Exchange) -> None:
         for run in request.runs:
-            task = asyncio.ensure_future(run.settle(is_durable))
+            task = asyncio.ensure_future(run.settle(True, ()))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
         request.runs.clear()
--- a/packages/wagtailstream-platform/wagtailstream_platform/bill_outbox.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/bill_outbox.py
@@ -35,6 +35,7 @@
         self._metrics = counters
         self._waiting: dict[billing.BillKey, _Held] = {}
         self._added = asyncio.Event()
+        self._appending = asyncio.Lock()
 
     @property
     def is_full(self) -> bool:
@@ -74,6 +75,10 @@
 
     async def flush(self) -> bool:
         """Append all that waits now; return whether the log took it."""
+        async with self._appending:
+            return await self._flush()
+
+    async def _flush(self) -> bool:
         batch = dict(list(self._waiting.items())[:MAX_BILLS_PER_APPEND])
         if not batch:
             return True
