--- a/packages/wagtailstream-entry/wagtailstream_entry/connection.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -297,6 +297,8 @@
                     )
                     await self._stream.recv_trailing_metadata()
                     is_confirmed = True
+                    # Nothing is left to cancel.
+                    self._stream = None
         await self.close()
         return is_confirmed
 
@@ -306,7 +308,7 @@
             return
         self._is_closed = True
         self._owner.note_run_closed()
-        with contextlib.suppress(*FAULTS):
+        with contextlib.suppress(*FAULTS, Exception):
             if self._stream is not None:
                 await self._stream.cancel()
         with contextlib.suppress(*FAULTS, Exception):
--- /dev/null
+++ b/tests/core/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of one package, one file a module."""
--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -163,6 +163,37 @@
     return runs
 
 
+def count_runs(started: fleet.Fleet, request_id: str) -> int:
+    """Return how often any endpoint ran a request."""
+    return sum(run["request_id"] == request_id for run in list_runs(started))
+
+
+def find_busy(started: fleet.Fleet, model: str) -> str:
+    """Return the name of the endpoint whose engine runs a model now."""
+    for name, found in started.endpoints.items():
+        if found.endpoint.service or not found.backend.is_running:
+            continue
+        runs = started.get_json(f"{found.backend.url}/runs")["runs"]
+        if any(r["state"] == "running" and r["model"] == model for r in runs):
+            return name
+    raise LookupError(model)
+
+
+def wait_billed(started: fleet.Fleet, request_id: str, attempts: int) -> None:
+    """Wait until a request's one bill holds so many attempts."""
+    started.wait_until(
+        lambda: count_bills(started).get(request_id) == attempts,
+        f"{request_id} is not billed",
+    )
+
+
+def slow_engines(started: fleet.Fleet, token_seconds: float) -> None:
+    """Make all engines generate at a pace that faults can catch up with."""
+    for found in started.endpoints.values():
+        if not found.endpoint.service:
+            started.set_faults(found.backend, token_seconds=token_seconds)
+
+
 def count_bills(started: fleet.Fleet) -> dict[str, int]:
     """Return the number of attempts billed, by request."""
     fold = demo.fetch_bills(started.platform["log"].url)
@@ -194,15 +225,24 @@
     entries: int = 1,
     options: fleet.Options | None = None,
     bundle_path: pathlib.Path = BUNDLE,
+    routed: collections.abc.Sequence[str] = (),
 ) -> collections.abc.Iterator[fleet.Fleet]:
     """Run a published fleet, ready for work.
 
     :param entries: how many entries.
+    :param routed: endpoints whose agents the entries know only by their
+        address on the fault proxy; the routes have the same names.
     """
     with tempfile.TemporaryDirectory() as directory:
         started = fleet.Fleet(pathlib.Path(directory), bundle_path, options)
         try:
-            started.start(entries)
+            started.start(0 if routed else entries)
+            for name in routed:
+                target = started.endpoints[name].agent.address
+                address = started.route(name, target)
+                started.register_agent(name, address=address)
+            while len(started.entries) < entries:
+                started.start_entry()
             started.publish()
             started.wait_ready()
             yield started
