Ask endpoints again whose connections broke under a begun answer

The likely cause, by reading: an attempt on a connection dialled while the route still cut made no progress, so both endpoints stayed excluded. It was not reproduced by itself. Progress is no longer asked for; the bound on attempts and the retry budget hold as before.

--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -249,7 +249,7 @@
     async def _attempt(self, job: "_Job", link: links.AgentLink) -> Outcome:
         request = job.request
         number = request.next_attempt()
-        position = job.start_attempt(number)
+        position = job.assembler.start_attempt(number)
         if position:
             self._metrics.count(metrics.Metric.RESUMED)
         attempt = work.Attempt(
@@ -420,7 +420,6 @@
         self.assembler = assembly.Assembler(request.request_id)
         self.tried: set[str] = set()
         self.attempts = 0
-        self._position = 0
         # Whether what was passed on differs from what was sent.
         self.is_corrupt = False
         self.last_refusal: errors.Refusal | None = None
@@ -438,17 +437,13 @@
         """The customer's name."""
         return self.request.customer.name if self.request.customer else ""
 
-    def start_attempt(self, number: int) -> int:
-        """Begin an attempt and return the position to resume from.
+    def note_broken(self) -> None:
+        """Note a connection that broke; others are worth another try.
 
-        :param number: the attempt's number.
+        A begun answer is lost unless somebody goes on with it, and a
+        connection that breaks says little of the endpoint behind it.
         """
-        self._position = self.assembler.start_attempt(number)
-        return self._position
-
-    def note_broken(self) -> None:
-        """Note a connection that broke; progress makes all worth a try."""
-        if self.assembler.position > self._position:
+        if self._has_started:
             self.tried.clear()
 
     async def write(
