--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections.abc
 import logging
+import random
 import signal
 import typing
 
+import expression
 import grpclib.server
 
 from wagtailstream_agent import (
@@ -19,25 +21,32 @@
     runner,
     settings,
     slots,
+    stall,
 )
 from wagtailstream_core import (
     clock,
     configuration,
+    errors,
     wire_codec,
     wire_pb2,
     work,
 )
 from wagtailstream_platform import (
+    alarm,
     bill_outbox,
     factory,
     follower,
     log_client,
     metrics,
     reporter,
+    snapshot_keeper,
+    strike_board,
     tls,
 )
 
 DRAIN_POLL_SECONDS = 0.05
+# Entries hear of the drain before connections may close.
+DRAIN_NOTICE_SECONDS = 0.25
 FLUSH_LIMIT_SECONDS = 5.0
 
 _LOGGER = logging.getLogger(__name__)
@@ -58,18 +67,46 @@
         self._follower = follower.Follower(
             self._log,
             agent_settings.load_keyring(),
+            agent_settings.load_fleet_signer(),
             agent_settings.data_centre,
             self._clock,
             self._metrics,
         )
+        self._keeper = snapshot_keeper.SnapshotKeeper(
+            self._log,
+            self._follower,
+            agent_settings.load_fleet_signer(),
+            agent_settings.platform.retention_seconds,
+            self._clock,
+            random.Random(),
+            self._metrics,
+        )
         self._outbox = bill_outbox.BillOutbox(
             self._log,
             agent_settings.bill_buffer,
             agent_settings.bill_window_seconds,
             self._metrics,
         )
-        self._slots = slots.Slots(agent_settings.slots, agent_settings.queue)
+        self._slots = slots.Slots(
+            agent_settings.slots,
+            agent_settings.queue,
+            self._clock,
+            random.Random(),
+        )
         self._results = results.ResultTable()
+        self._alarm = alarm.Alarm()
+        self._strikes = strike_board.StrikeBoard(
+            self._follower,
+            self._clock,
+            self._alarm,
+            self._metrics,
+            agent_settings.instance,
+        )
+        self._stall_watch = stall.StallWatch(
+            self._clock,
+            agent_settings.stall_seconds,
+            str(agent_settings.endpoint_url),
+        )
         self._loader: loader.Loader | None = None
         self._runner = self._make_runner()
         self._service = grpc_service.AgentService(
@@ -77,6 +114,9 @@
             self._follower,
             self._outbox,
             self._make_heartbeat,
+            self._clock,
+            self._strikes,
+            self._alarm,
         )
         self._is_draining = False
         self._sequence = 0
@@ -110,12 +150,27 @@
             ),
             attempt,
         )
-        if verdict.is_error():
-            self._metrics.count(
-                metrics.Metric.REFUSED, verdict.error.reason.value
-            )
+        refusal = self._strikes.check(work.digest(attempt.work))
+        if verdict.is_ok() and refusal is not None:
+            return expression.Error(refusal)
         return verdict
 
+    def note_refusal(self, refusal: errors.Refusal) -> None:
+        """Count a refusal by its reason.
+
+        :param refusal: the refusal.
+        """
+        self._metrics.count(metrics.Metric.REFUSED, refusal.reason.value)
+
+    def note_death(self, attempt: work.Attempt) -> None:
+        """Note that the endpoint died of an attempt.
+
+        :param attempt: the attempt.
+        """
+        self._strikes.note_death(
+            work.digest(attempt.work), self._settings.endpoint
+        )
+
     def _make_runner(self) -> runner.Runner:
         url = str(self._settings.endpoint_url)
         if self._settings.kind == "engine":
@@ -129,6 +184,7 @@
                 self._slots,
                 self._clock,
                 model_engine,
+                self._stall_watch,
             )
         service_runner = runner.ServiceRunner(
             self,
@@ -189,6 +245,17 @@
                 for v in (sorted(state.loaded) if state else ())
             ],
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            service_mean_ms=wire_codec.to_milliseconds(
+                self._slots.service_time.mean or 0.0
+            ),
+            service_bound_ms=wire_codec.to_milliseconds(
+                self._slots.service_time.bound
+            ),
+            queues=[
+                wire_pb2.QueueLength(priority=priority, queued=queued)
+                for priority, queued in self._slots.count_queued().items()
+            ],
+            stalled=self._stall_watch.is_stalled,
         )
 
     def _read_gauges(self) -> reporter.Reading:
@@ -210,6 +277,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
         self._start(self._follower.run())
+        self._start(self._keeper.run())
         self._start(self._outbox.run())
         self._start(reporter.Reporter(self._metrics, self._read_gauges).run())
         if self._loader is not None:
@@ -235,10 +303,13 @@
     async def _shut_down(self, server: grpclib.server.Server) -> None:
         """Refuse new work, let what runs end, flush the bills, stop."""
         self._is_draining = True
+        self._alarm.ring()
         _LOGGER.info("draining", extra={"open": self._service.open_count})
+        await asyncio.sleep(DRAIN_NOTICE_SECONDS)
         await self._wait_idle()
         server.close()
         await server.wait_closed()
+        await self._service.wait_finished(FLUSH_LIMIT_SECONDS)
         await self._flush()
         for task in self._tasks:
             task.cancel()
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import collections.abc
+import dataclasses
 import logging
 import typing
 
@@ -13,13 +14,22 @@
 
 from wagtailstream_agent import execution, results, runner
 from wagtailstream_core import (
+    clock,
+    demand,
     errors,
     ledger,
     wire_codec,
     wire_grpc,
     wire_pb2,
 )
-from wagtailstream_platform import auth, bill_outbox, follower, metrics
+from wagtailstream_platform import (
+    alarm,
+    auth,
+    bill_outbox,
+    follower,
+    metrics,
+    strike_board,
+)
 
 SILENCE_SECONDS = 5.0
 LINK_METADATA_KEY = "wagtail-link"
@@ -47,6 +57,9 @@
     :param config_follower: holds the configuration in force.
     :param outbox: holds bills until they are durable.
     :param make_heartbeat: returns this agent's present state.
+    :param system_clock: tells the time.
+    :param strikes: the strikes that this agent knows.
+    :param news_alarm: rings when a heartbeat should not wait.
     """
 
     def __init__(
@@ -55,11 +68,18 @@
         config_follower: follower.Follower,
         outbox: bill_outbox.BillOutbox,
         make_heartbeat: HeartbeatMaker,
+        system_clock: clock.Clock,
+        strikes: strike_board.StrikeBoard,
+        news_alarm: alarm.Alarm,
     ) -> None:
         self._runner = attempt_runner
         self._follower = config_follower
         self._outbox = outbox
         self._make_heartbeat = make_heartbeat
+        self._clock = system_clock
+        self._demands = demand.DemandBoard(SILENCE_SECONDS)
+        self._strikes = strikes
+        self._alarm = news_alarm
         self._executions: dict[str, set[asyncio.Task[typing.Any]]] = (
             collections.defaultdict(set)
         )
@@ -71,6 +91,14 @@
         """How many attempts are under way or not settled yet."""
         return self._open_count
 
+    async def wait_finished(self, limit_seconds: float) -> None:
+        """Wait until what the attempts used is with the outbox.
+
+        :param limit_seconds: how long at most.
+        """
+        if self._cleanups:
+            await asyncio.wait(list(self._cleanups), timeout=limit_seconds)
+
     async def Run(self, stream: RunStream) -> None:  # noqa: N802
         """Run one attempt.
 
@@ -153,24 +181,62 @@
         :param stream: the entry's heartbeats in, this agent's out.
         """
         link = _find_link(stream)
-        try:
-            while True:
-                async with asyncio.timeout(SILENCE_SECONDS):
-                    message = await stream.recv_message()
-                if message is None:
-                    break
-                self._take_heartbeat(message)
-                await stream.send_message(self._make_heartbeat())
-        except TimeoutError:
-            _LOGGER.info("entry went silent", extra={"peer": link})
-        finally:
-            for task in list(self._executions.get(link, ())):
-                task.cancel()
+        with self._alarm.subscribe() as is_due:
+            peer = _Peer()
+            sender = asyncio.ensure_future(
+                self._send_heartbeats(stream, is_due, peer)
+            )
+            try:
+                await self._receive_heartbeats(stream, is_due, peer)
+            except TimeoutError:
+                _LOGGER.info("entry went silent", extra={"peer": link})
+            finally:
+                sender.cancel()
+                for task in list(self._executions.get(link, ())):
+                    task.cancel()
+
+    async def _receive_heartbeats(
+        self, stream: WatchStream, is_due: asyncio.Event, peer: "_Peer"
+    ) -> None:
+        while True:
+            async with asyncio.timeout(SILENCE_SECONDS):
+                message = await stream.recv_message()
+            if message is None:
+                return
+            peer.instance = message.instance
+            self._take_heartbeat(message)
+            is_due.set()
+
+    async def _send_heartbeats(
+        self, stream: WatchStream, is_due: asyncio.Event, peer: "_Peer"
+    ) -> None:
+        """Answer each heartbeat, and send one when there is news."""
+        position = 0
+        while True:
+            await is_due.wait()
+            is_due.clear()
+            message = self._make_heartbeat_for(peer)
+            position = self._strikes.fill(message, position)
+            await stream.send_message(message)
 
     def _take_heartbeat(self, message: wire_pb2.Heartbeat) -> None:
+        self._strikes.take(message)
         self._follower.merge_contacts(
             wire_codec.decode_contacts(message.contacts)
         )
+        self._demands.put(
+            message.instance,
+            wire_codec.decode_demands(message.demands),
+            self._clock.monotonic(),
+        )
+
+    def _make_heartbeat_for(self, peer: "_Peer") -> wire_pb2.Heartbeat:
+        message = self._make_heartbeat()
+        others = self._demands.sum_others(
+            peer.instance, self._clock.monotonic()
+        )
+        message.demands.extend(wire_codec.encode_demands(others))
+        return message
 
     async def PushConfiguration(  # noqa: N802
         self, stream: PushStream
@@ -181,7 +247,7 @@
         """
         message = await stream.recv_message()
         if message is not None:
-            self._follower.adopt(wire_codec.decode_records(message))
+            self._follower.take_offer(wire_codec.decode_offer(message))
         await stream.send_message(
             wire_pb2.ConfigurationPosition(offset=self._follower.state.offset)
         )
@@ -195,10 +261,8 @@
         """
         message = await stream.recv_message()
         offset = message.offset if message is not None else -1
-        found = self._follower.read_since(offset)
-        if found is None:
-            found = self._follower.read_all_kept()
-        await stream.send_message(wire_codec.encode_records(found))
+        offer = self._follower.make_offer(offset)
+        await stream.send_message(wire_codec.encode_offer(offer))
 
     async def FetchResult(self, stream: FetchStream) -> None:  # noqa: N802
         """Give the result of a request that this agent claimed.
@@ -215,6 +279,13 @@
         await stream.send_message(_encode_result(found))
 
 
+@dataclasses.dataclass
+class _Peer:
+    """The entry at the other end of a watched connection."""
+
+    instance: str = ""
+
+
 def _find_link(stream: RunStream | WatchStream) -> str:
     metadata = typing.cast(
         "collections.abc.Mapping[str, str]", stream.metadata or {}
--- a/packages/wagtailstream-agent/wagtailstream_agent/runner.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/runner.py
@@ -15,6 +15,8 @@
     plain_service,
     results,
     slots,
+    stall,
+    trial,
 )
 from wagtailstream_core import (
     assembly,
@@ -30,6 +32,17 @@
 LEDGER_RETRY_SECONDS = 2.0
 MAX_KEPT_BODY_BYTES = 16384
 
+_REJECTIONS = {
+    slots.Cause.FULL: (
+        errors.Reason.ENDPOINT_FULL,
+        "the endpoint's queue is full",
+    ),
+    slots.Cause.LATE: (
+        errors.Reason.DEADLINE_UNREACHABLE,
+        "the endpoint can't answer by the deadline",
+    ),
+}
+
 Emit = collections.abc.Callable[
     [work.Accepted | assembly.Chunk | work.Ended],
     collections.abc.Awaitable[None],
@@ -67,15 +80,44 @@
         :param attempt: the attempt.
         """
 
+    @abc.abstractmethod
+    def note_refusal(self, refusal: errors.Refusal) -> None:
+        """Count a refusal by its reason.
 
-class Meter:
-    """What an attempt has used so far; billed if nobody else settles it.
+        :param refusal: the refusal.
+        """
 
-    :param cost: the cost so far; None until something ran.
-    """
+    @abc.abstractmethod
+    def note_death(self, attempt: work.Attempt) -> None:
+        """Note that the endpoint died of an attempt.
+
+        :param attempt: the attempt.
+        """
+
+
+class Meter:
+    """What an attempt has used so far; billed if nobody else settles it."""
 
     def __init__(self) -> None:
-        self.cost: billing.AttemptCost | None = None
+        self._cost: billing.AttemptCost | None = None
+        self._answer_tokens = 0
+
+    @property
+    def cost(self) -> billing.AttemptCost | None:
+        """The cost so far; None until something ran."""
+        if self._cost is None or not self._answer_tokens:
+            return self._cost
+        return self._cost.model_copy(
+            update={"answer_tokens": self._answer_tokens}
+        )
+
+    @cost.setter
+    def cost(self, value: billing.AttemptCost | None) -> None:
+        self._cost = value
+
+    def count_token(self) -> None:
+        """Add a token of the answer."""
+        self._answer_tokens += 1
 
 
 class Runner(abc.ABC):
@@ -98,6 +140,7 @@
         self._endpoint = endpoint
         self._slots = endpoint_slots
         self._clock = system_clock
+        self._trials = trial.TrialRoom(endpoint_slots, system_clock)
 
     async def run(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -109,18 +152,24 @@
         :param meter: is kept up to date with the cost.
         :raises AttemptAbortedError: with the refusal to send.
         """
+        try:
+            await self._admit(attempt, emit, meter)
+        except AttemptAbortedError as error:
+            self._keeper.note_refusal(error.refusal)
+            raise
+
+    async def _admit(
+        self, attempt: work.Attempt, emit: Emit, meter: Meter
+    ) -> None:
         self._pass_gate(attempt)
-        if self._slots.is_full:
-            raise self._abort(
-                errors.Reason.ENDPOINT_FULL,
-                "the endpoint's queue is full",
-                gate.FULL_RETRY_SECONDS,
-            )
         await self._acquire(attempt)
+        started_at = self._clock.monotonic()
+        self._trials.enter(attempt)
         try:
             await self._run_in_slot(attempt, emit, meter)
         finally:
-            self._slots.release()
+            self._trials.leave(attempt)
+            self._slots.release(self._clock.monotonic() - started_at)
 
     def find_result(
         self, key: ledger.ClaimKey, claim_id: str
@@ -133,16 +182,23 @@
         return None
 
     async def _acquire(self, attempt: work.Attempt) -> None:
-        try:
-            async with asyncio.timeout(
-                max(0.0, attempt.deadline - self._clock.wall())
-            ):
-                await self._slots.acquire(attempt.priority)
-        except TimeoutError as error:
-            raise self._abort(
-                errors.Reason.DEADLINE_PAST,
-                "the deadline passed in the endpoint's queue",
-            ) from error
+        verdict = await self._slots.acquire(
+            slots.Applicant(
+                attempt.customer,
+                attempt.priority,
+                attempt.deadline,
+                attempt.is_suspect,
+            )
+        )
+        if verdict.is_ok():
+            return
+        rejection = verdict.error
+        reason, message = _REJECTIONS[rejection.cause]
+        raise AttemptAbortedError(
+            errors.not_run(
+                reason, message, "admit", self._keeper.name, rejection.retry_at
+            )
+        )
 
     def _pass_gate(self, attempt: work.Attempt) -> None:
         verdict = self._keeper.check(attempt)
@@ -164,16 +220,28 @@
             errors.not_run(reason, message, "run", self._keeper.name, retry_at)
         )
 
-    def _abort_unknown(self, message: str) -> AttemptAbortedError:
+    def _abort_unknown(
+        self,
+        message: str,
+        reason: errors.Reason = errors.Reason.ENDPOINT_FAILED,
+    ) -> AttemptAbortedError:
         return AttemptAbortedError(
-            errors.unknown(
-                errors.Reason.ENDPOINT_FAILED,
-                message,
-                "run",
-                self._keeper.name,
-            )
+            errors.unknown(reason, message, "run", self._keeper.name)
         )
 
+    async def _abort_lost(
+        self, attempt: work.Attempt, error: errors.PeerError
+    ) -> AttemptAbortedError:
+        """Judge whether the endpoint died, and of which attempt."""
+        is_blamed = self._trials.judge_death(attempt)
+        if is_blamed and await trial.is_dead(error.peer):
+            self._keeper.note_death(attempt)
+            return self._abort_unknown(
+                "the endpoint died under the request",
+                errors.Reason.ENDPOINT_LOST,
+            )
+        return self._abort_unknown(f"the endpoint gave no answer: {error}")
+
     @abc.abstractmethod
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -188,6 +256,7 @@
     :param endpoint_slots: admits attempts.
     :param system_clock: tells the time.
     :param model_engine: the engine.
+    :param stall_watch: watches the engine's progress.
     """
 
     def __init__(
@@ -197,9 +266,11 @@
         endpoint_slots: slots.Slots,
         system_clock: clock.Clock,
         model_engine: engine.Engine,
+        stall_watch: stall.StallWatch,
     ) -> None:
         super().__init__(keeper, endpoint, endpoint_slots, system_clock)
         self._engine = model_engine
+        self._stall_watch = stall_watch
 
     async def _run_in_slot(
         self, attempt: work.Attempt, emit: Emit, meter: Meter
@@ -225,6 +296,19 @@
                 "the engine's queue is full",
                 gate.FULL_RETRY_SECONDS,
             ) from error
+        except engine.NotSentError as error:
+            meter.cost = None
+            raise self._abort(
+                errors.Reason.ENDPOINT_FAILED,
+                "the engine can't be reached",
+                gate.LOAD_RETRY_SECONDS,
+            ) from error
+        except engine.LostError as error:
+            raise await self._abort_lost(attempt, error) from error
+        except stall.StalledError as error:
+            raise self._abort_unknown(
+                "the engine made no progress", errors.Reason.ENDPOINT_STALLED
+            ) from error
         except (errors.PeerError, TimeoutError) as error:
             raise self._abort_unknown(f"the engine failed: {error}") from error
 
@@ -246,19 +330,20 @@
         meter: Meter,
     ) -> None:
         digest = hashlib.sha256()
-        tokens = 0
         stream = self._engine.generate(attempt, model_work)
-        async with contextlib.aclosing(stream):
+        async with (
+            contextlib.aclosing(stream),
+            self._stall_watch.guard(),
+        ):
             async for item in stream:
+                self._stall_watch.note_progress()
+                self._trials.leave(attempt)
                 if isinstance(item, engine.Done):
                     await self._end(attempt, item, digest, emit, meter)
                     return
                 data = item.text.encode()
                 digest.update(data)
-                tokens += 1
-                meter.cost = self._make_cost(attempt, model_work).model_copy(
-                    update={"answer_tokens": tokens}
-                )
+                meter.count_token()
                 await emit(
                     assembly.Chunk(
                         attempt.request_id, attempt.number, item.index, data
@@ -482,6 +567,8 @@
             ) from error
         except (errors.PeerError, TimeoutError) as error:
             self._note(claim, errors.Outcome.UNKNOWN)
+            if isinstance(error, plain_service.LostError):
+                raise await self._abort_lost(attempt, error) from error
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
             ) from error
@@ -594,6 +681,8 @@
                 "the service can't be reached",
                 gate.LOAD_RETRY_SECONDS,
             ) from error
+        except plain_service.LostError as error:
+            raise await self._abort_lost(attempt, error) from error
         except errors.PeerError as error:
             raise self._abort_unknown(
                 f"the service gave no answer: {error}"
--- a/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
@@ -6,8 +6,11 @@
     assembly,
     billing,
     configuration,
+    demand,
     errors,
     freshness,
+    snapshots,
+    strikes,
     wire_pb2,
     work,
 )
@@ -48,6 +51,7 @@
         configuration_offset=attempt.configuration_offset,
         deadline_unix_ms=to_milliseconds(attempt.deadline),
         priority=attempt.priority,
+        suspect=attempt.is_suspect,
     )
     match attempt.work:
         case work.ModelWork() as model:
@@ -92,6 +96,7 @@
         to_seconds(start.deadline_unix_ms),
         start.priority,
         _decode_work(start),
+        start.suspect,
     )
 
 
@@ -326,37 +331,105 @@
     ]
 
 
-def encode_records(
-    log_records: collections.abc.Iterable[configuration.LogRecord],
+def encode_demands(
+    demands: collections.abc.Iterable[demand.CustomerDemand],
+) -> list[wire_pb2.CustomerDemand]:
+    """Return customers' demands for a heartbeat.
+
+    :param demands: one a customer.
+    """
+    return [
+        wire_pb2.CustomerDemand(
+            customer=item.customer, requests_per_second=item.rate
+        )
+        for item in demands
+    ]
+
+
+def decode_demands(
+    demands: collections.abc.Iterable[wire_pb2.CustomerDemand],
+) -> list[demand.CustomerDemand]:
+    """Return customers' demands from a heartbeat.
+
+    :param demands: one a customer.
+    """
+    return [
+        demand.CustomerDemand(item.customer, item.requests_per_second)
+        for item in demands
+    ]
+
+
+def encode_offer(
+    offer: snapshots.Offer,
 ) -> wire_pb2.ConfigurationRecords:
-    """Return configuration records for a peer.
+    """Return what brings a peer up to date.
 
-    :param log_records: records in log order.
+    :param offer: a snapshot, if need be, and records in log order.
     """
     return wire_pb2.ConfigurationRecords(
+        snapshot=offer.snapshot,
         records=[
             wire_pb2.ConfigurationRecord(
                 offset=record.offset,
                 payload=record.payload,
                 appended_unix_ms=to_milliseconds(record.time),
             )
-            for record in log_records
-        ]
+            for record in offer.records
+        ],
     )
 
 
-def decode_records(
-    message: wire_pb2.ConfigurationRecords,
-) -> list[configuration.LogRecord]:
-    """Return configuration records from a peer.
+def decode_offer(message: wire_pb2.ConfigurationRecords) -> snapshots.Offer:
+    """Return what a peer sent to bring this instance up to date.
 
     :param message: the wire's message.
     """
-    return [
-        configuration.LogRecord(
-            record.offset,
-            record.payload,
-            to_seconds(record.appended_unix_ms),
-        )
-        for record in message.records
+    return snapshots.Offer(
+        tuple(
+            configuration.LogRecord(
+                record.offset,
+                record.payload,
+                to_seconds(record.appended_unix_ms),
+            )
+            for record in message.records
+        ),
+        message.snapshot,
+    )
+
+
+def add_strikes(
+    message: wire_pb2.Heartbeat,
+    news: collections.abc.Iterable[strikes.News],
+) -> None:
+    """Put news of strikes into a heartbeat.
+
+    :param message: the heartbeat.
+    :param news: strikes and clearings.
+    """
+    for item in news:
+        if isinstance(item, strikes.Strike):
+            message.strikes.add(
+                digest=item.digest,
+                endpoint=item.endpoint,
+                struck_unix_ms=to_milliseconds(item.struck_at),
+            )
+        else:
+            message.clearings.add(
+                digest=item.digest,
+                cleared_unix_ms=to_milliseconds(item.cleared_at),
+            )
+
+
+def decode_strikes(message: wire_pb2.Heartbeat) -> list[strikes.News]:
+    """Return the news of strikes in a heartbeat.
+
+    :param message: the heartbeat.
+    """
+    struck: list[strikes.News] = [
+        strikes.Strike(s.digest, s.endpoint, to_seconds(s.struck_unix_ms))
+        for s in message.strikes
+    ]
+    return struck + [
+        strikes.Clearing(c.digest, to_seconds(c.cleared_unix_ms))
+        for c in message.clearings
     ]
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -1,6 +1,7 @@
 """Wires the entry together, serves, and shuts down gracefully."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import signal
@@ -11,7 +12,9 @@
 
 from wagtailstream_core import clock, freshness, wire_codec, wire_pb2
 from wagtailstream_entry import (
+    agent_link,
     authenticate,
+    connection,
     current,
     deadline,
     dispatch,
@@ -19,8 +22,10 @@
     handlers,
     limit,
     links,
+    open_requests,
     parse_chat,
     pipeline,
+    quarantine,
     rating,
     responses,
     resume_session,
@@ -30,17 +35,21 @@
     settle,
 )
 from wagtailstream_platform import (
+    alarm,
     bill_outbox,
     factory,
     follower,
     instance_list,
     log_client,
     reporter,
+    snapshot_keeper,
+    strike_board,
     tls,
 )
 
 DRAIN_POLL_SECONDS = 0.05
 FLUSH_LIMIT_SECONDS = 5.0
+ABORT_LIMIT_SECONDS = 2.0
 MAX_HEADER_BYTES = 16384
 MAX_BUFFER_BYTES = 1048576
 # The handlers refuse earlier, with a typed error; this is the last bound.
@@ -65,24 +74,49 @@
         self._follower = follower.Follower(
             self._log,
             entry_settings.load_keyring(),
+            entry_settings.load_fleet_signer(),
             entry_settings.data_centre,
             self._clock,
             self._metrics,
         )
+        self._keeper = snapshot_keeper.SnapshotKeeper(
+            self._log,
+            self._follower,
+            entry_settings.load_fleet_signer(),
+            entry_settings.platform.retention_seconds,
+            self._clock,
+            random.Random(),
+            self._metrics,
+        )
         self._outbox = bill_outbox.BillOutbox(
             self._log,
             entry_settings.bill_buffer,
             entry_settings.bill_window_seconds,
             self._metrics,
         )
+        self._alarm = alarm.Alarm()
+        strikes = strike_board.StrikeBoard(
+            self._follower,
+            self._clock,
+            self._alarm,
+            self._metrics,
+            entry_settings.instance,
+        )
         self._table = links.LinkTable(
             instance_list.HttpInstanceList(str(platform.instances)),
             self._follower,
             factory.make_authenticator(entry_settings),
             self._clock,
-            self._make_heartbeat,
-            entry_settings.heartbeat_seconds,
+            connection.WatchSettings(
+                entry_settings.heartbeat_seconds,
+                self._make_heartbeat,
+                strikes,
+                self._alarm,
+            ),
             entry_settings.refresh_seconds,
+            links.LinkBounds(
+                entry_settings.instance, entry_settings.max_links
+            ),
             tls.make_client_context(entry_settings.tls),
         )
         self._dispatcher = dispatch.Dispatcher(
@@ -92,11 +126,21 @@
             random.Random(),
             self._metrics,
             entry_settings.instance,
+            quarantine.Quarantine(
+                strikes,
+                self._log,
+                self._follower,
+                entry_settings.load_fleet_signer(),
+                self._clock,
+            ),
         )
         self._settle = settle.Settle(
             self._outbox, self._clock, entry_settings.instance
         )
-        self._open_requests: set[str] = set()
+        self._limiter = limit.LimitCustomer(
+            self._table, self._clock, entry_settings.instance
+        )
+        self._open_requests = open_requests.OpenRequests()
         self._is_draining = False
         self._sequence = 0
         self._stop = asyncio.Event()
@@ -110,6 +154,7 @@
             configuration_offset=self._follower.state.offset,
             draining=self._is_draining,
             contacts=wire_codec.encode_contacts(self._follower.contacts),
+            demands=wire_codec.encode_demands(self._limiter.list_demands()),
         )
 
     def _make_rater(self) -> rating.Rater:
@@ -120,9 +165,6 @@
         session_keys = self._settings.session_keys.load_session_keys()
         peer = self._settings.instance
         front = self._make_front()
-        limiter = limit.LimitCustomer(
-            lambda: self._table.entry_count, self._clock, peer
-        )
         chat = pipeline.Pipeline(
             [
                 *front,
@@ -130,7 +172,7 @@
                 resume_session.ResumeSession(
                     session_keys, lambda: str(uuid_utils.uuid7().hex), peer
                 ),
-                limiter,
+                self._limiter,
                 run_model.RunModel(
                     self._dispatcher,
                     self._follower,
@@ -145,7 +187,7 @@
             [
                 *front,
                 run_service.CheckOperation(peer),
-                limiter,
+                self._limiter,
                 run_service.RunService(
                     self._dispatcher, self._follower, self._clock, peer
                 ),
@@ -187,6 +229,7 @@
     def _is_ready(self) -> bool:
         return (
             not self._is_draining
+            and self._table.has_list
             and self._follower.state.bundle is not None
             and self._follower.judge() is not freshness.Freshness.CUT_OFF
         )
@@ -220,7 +263,7 @@
             ],
         }
 
-    def _describe_link(self, link: links.AgentLink) -> responses.Json:
+    def _describe_link(self, link: agent_link.AgentLink) -> responses.Json:
         state = link.state
         if state is None:
             return {"address": link.address, "reachable": False}
@@ -248,6 +291,7 @@
             asyncio.ensure_future(coroutine)
             for coroutine in (
                 self._follower.run(),
+                self._keeper.run(),
                 self._outbox.run(),
                 self._table.run(),
                 reporter.Reporter(self._metrics, self._read_gauges).run(),
@@ -279,6 +323,7 @@
     ) -> None:
         """Refuse new work, let what runs end, flush the bills, stop."""
         self._is_draining = True
+        self._alarm.ring()
         _LOGGER.info("draining", extra={"open": len(self._open_requests)})
         await self._wait_idle()
         server.stop()
@@ -294,15 +339,24 @@
     async def _wait_idle(self) -> None:
         try:
             async with asyncio.timeout(self._settings.drain_seconds):
-                while self._open_requests:
-                    await asyncio.sleep(DRAIN_POLL_SECONDS)
-                # The last answers are written after their requests end.
-                await asyncio.sleep(DRAIN_POLL_SECONDS)
+                await self._wait_answered()
         except TimeoutError:
             _LOGGER.warning(
                 "drain limit reached",
                 extra={"open": len(self._open_requests)},
             )
+            await self._give_up_open()
+
+    async def _wait_answered(self) -> None:
+        while len(self._open_requests):
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    async def _give_up_open(self) -> None:
+        """Give each open request its final answer; the agents bill."""
+        self._open_requests.abort()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(ABORT_LIMIT_SECONDS):
+                await self._wait_answered()
 
     async def _flush(self) -> None:
         try:
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
@@ -16,11 +16,12 @@
     work,
 )
 from wagtailstream_entry import (
+    agent_link,
     connection,
     dispatch,
     exchange,
-    links,
     pipeline,
+    target,
 )
 from wagtailstream_platform import follower
 
@@ -148,11 +149,11 @@
                     errors.Reason.MALFORMED, "no operation", STEP, self._peer
                 )
             )
-        target = dispatch.Target(
-            dispatch.find_service_endpoints(known, wanted.service), None, 0
+        work_target = target.Target(
+            target.find_service_endpoints(known, wanted.service), None, 0
         )
         for _ in range(MAX_CLAIM_TRIES):
-            verdict = await self._try_claim(request, wanted, target)
+            verdict = await self._try_claim(request, wanted, work_target)
             if verdict.is_ok() or not self._may_claim_anew(verdict.error):
                 break
             await asyncio.sleep(POLL_SECONDS)
@@ -168,23 +169,25 @@
         self,
         request: exchange.Exchange,
         wanted: work.ServiceWork,
-        target: dispatch.Target,
+        work_target: target.Target,
     ) -> pipeline.Verdict:
         outcome = await self._dispatcher.run(
-            request, target, lambda _: wanted, request.sink
+            request, work_target, lambda _: wanted, request.sink
         )
         if outcome.is_ok():
             request.runs.append(outcome.ok.run)
             return pipeline.PASSED
         if outcome.error.reason is errors.Reason.CLAIM_LOST:
-            return await self._fetch(request, wanted, target, outcome.error)
+            return await self._fetch(
+                request, wanted, work_target, outcome.error
+            )
         return expression.Error(outcome.error)
 
     async def _fetch(
         self,
         request: exchange.Exchange,
         wanted: work.ServiceWork,
-        target: dispatch.Target,
+        work_target: target.Target,
         lost: errors.Refusal,
     ) -> pipeline.Verdict:
         """Fetch the answer from the agent that holds the winning claim."""
@@ -194,7 +197,7 @@
             idempotency_key=wanted.idempotency_key,
             claim_id=lost.winner_claim,
         )
-        reply = await self._poll(request, query, target, lost.winner)
+        reply = await self._poll(request, query, work_target, lost.winner)
         match wire_codec.decode_outcome(reply.outcome):
             case errors.Outcome.COMPLETED:
                 return await self._pass_on(request, reply)
@@ -222,11 +225,11 @@
         self,
         request: exchange.Exchange,
         query: wire_pb2.ResultRequest,
-        target: dispatch.Target,
+        work_target: target.Target,
         winner: str,
     ) -> wire_pb2.ResultReply:
         while True:
-            reply = await self._ask(query, target, winner)
+            reply = await self._ask(query, work_target, winner)
             is_late = self._clock.wall() + POLL_SECONDS >= request.deadline
             if not reply.running or is_late:
                 return reply
@@ -235,11 +238,11 @@
     async def _ask(
         self,
         query: wire_pb2.ResultRequest,
-        target: dispatch.Target,
+        work_target: target.Target,
         winner: str,
     ) -> wire_pb2.ResultReply:
         """Ask the claimant; where it knows nothing, who read the log."""
-        for link in self._list_sources(target, winner):
+        for link in self._list_sources(work_target, winner):
             with contextlib.suppress(errors.PeerError):
                 source: connection.Connection = link.pick_any()
                 reply = await source.fetch_result(query)
@@ -248,8 +251,8 @@
         return wire_pb2.ResultReply(outcome=_UNKNOWN)
 
     def _list_sources(
-        self, target: dispatch.Target, winner: str
-    ) -> list[links.AgentLink]:
+        self, work_target: target.Target, winner: str
+    ) -> list[agent_link.AgentLink]:
         table = self._dispatcher.table
         claimant = table.find_link(winner)
         others = [
@@ -257,7 +260,7 @@
             for link in table.list_links()
             if link is not claimant
             and link.state is not None
-            and target.admits(link.state)
+            and work_target.admits(link.state)
         ]
         return [claimant, *others] if claimant is not None else others
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settings.py
@@ -18,10 +18,14 @@
     :param session_keys: the keys that sign session tokens.
     :param caller_tls: the certificate towards callers; without it the
         balancer ends TLS.
-    :param heartbeat_seconds: how often each agent is asked for its state.
+    :param heartbeat_seconds: the time between heartbeats; well below the
+        silence after which either end drops the connection.
+    :param max_links: how many agents this entry links to, of a larger fleet
+        by pool.
     """
 
     session_keys: settings.Keys
     caller_tls: CallerTls | None = None
-    heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
+    heartbeat_seconds: float = pydantic.Field(default=1.0, gt=0, le=1.5)
+    max_links: int = pydantic.Field(default=128, ge=1, le=4096)
     refresh_seconds: float = pydantic.Field(default=1.0, gt=0, le=60)
--- a/tests/platform/__init__.py
+++ b/tests/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of one package, one file a module."""
+"""Tests of the clients of the platform."""
