--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -16,9 +16,11 @@
     gate,
     grpc_service,
     loader,
+    model_runner,
     plain_service,
     results,
     runner,
+    service_runner,
     settings,
     slots,
     stall,
@@ -178,7 +180,7 @@
             self._loader = loader.Loader(
                 model_engine, self._follower, self._settings.endpoint
             )
-            return runner.ModelRunner(
+            return model_runner.ModelRunner(
                 self,
                 self._settings.endpoint,
                 self._slots,
@@ -186,7 +188,7 @@
                 model_engine,
                 self._stall_watch,
             )
-        service_runner = runner.ServiceRunner(
+        call_runner = service_runner.ServiceRunner(
             self,
             self._settings.endpoint,
             self._slots,
@@ -195,8 +197,8 @@
             self._find_address(),
             self._results,
         )
-        self._follower.add_listener(self._make_ledger_listener(service_runner))
-        return service_runner
+        self._follower.add_listener(self._make_ledger_listener(call_runner))
+        return call_runner
 
     def _find_address(self) -> str:
         return self._settings.advertised_address or (
@@ -204,11 +206,11 @@
         )
 
     def _make_ledger_listener(
-        self, service_runner: runner.ServiceRunner
+        self, call_runner: service_runner.ServiceRunner
     ) -> follower.Listener:
         def start_ledger(state: configuration.Configuration) -> None:
             known = state.bundle
-            if known is None or service_runner.claim_ledger is not None:
+            if known is None or call_runner.claim_ledger is not None:
                 return
             place = known.find_endpoint(self._settings.endpoint)
             if place is None or place.service is None:
@@ -219,7 +221,7 @@
                 known.limits.claim_window_seconds,
                 self._clock,
             )
-            service_runner.claim_ledger = claim_ledger
+            call_runner.claim_ledger = claim_ledger
             for coroutine in claim_ledger.list_tasks():
                 self._start(coroutine)
 
@@ -329,7 +331,7 @@
 
     @property
     def _abandoning_count(self) -> int:
-        if not isinstance(self._runner, runner.ServiceRunner):
+        if not isinstance(self._runner, service_runner.ServiceRunner):
             return 0
         claim_ledger = self._runner.claim_ledger
         return claim_ledger.abandoning_count if claim_ledger else 0
