--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -19,7 +19,7 @@
 import orjson
 import psutil  # type: ignore[import-untyped]
 
-from wagtailstream_agent import collector, grpc_service, results, runner
+from wagtailstream_agent import collector, grpc_service, runner
 from wagtailstream_core import clock, signing, tallies, wire_pb2
 from wagtailstream_entry import connection, links
 from wagtailstream_platform import (
@@ -132,7 +132,6 @@
             typing.cast(runner.Runner, None),
             parts.follower,
             typing.cast(bill_outbox.BillOutbox, None),
-            results.ResultTable(),
             lambda name=name: make_heartbeat(name),  # type: ignore[misc]
             clock.SystemClock(),
             parts.strikes,
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -17,9 +17,11 @@
     gate,
     grpc_service,
     loader,
+    model_runner,
     plain_service,
     results,
     runner,
+    service_runner,
     settings,
     slots,
     stall,
@@ -118,7 +120,6 @@
             self._runner,
             self._follower,
             self._outbox,
-            self._results,
             self._make_heartbeat,
             self._clock,
             self._strikes,
@@ -188,7 +189,7 @@
             self._loader = loader.Loader(
                 model_engine, self._follower, self._settings.endpoint
             )
-            return runner.ModelRunner(
+            return model_runner.ModelRunner(
                 self,
                 self._settings.endpoint,
                 self._slots,
@@ -196,7 +197,7 @@
                 model_engine,
                 self._stall_watch,
             )
-        service_runner = runner.ServiceRunner(
+        call_runner = service_runner.ServiceRunner(
             self,
             self._settings.endpoint,
             self._slots,
@@ -205,8 +206,8 @@
             self._find_address(),
             self._results,
         )
-        self._follower.add_listener(self._make_ledger_listener(service_runner))
-        return service_runner
+        self._follower.add_listener(self._make_ledger_listener(call_runner))
+        return call_runner
 
     def _find_address(self) -> str:
         return self._settings.advertised_address or (
@@ -214,11 +215,11 @@
         )
 
     def _make_ledger_listener(
-        self, service_runner: runner.ServiceRunner
+        self, call_runner: service_runner.ServiceRunner
     ) -> follower.Listener:
         def start_ledger(state: configuration.Configuration) -> None:
             known = state.bundle
-            if known is None or service_runner.claim_ledger is not None:
+            if known is None or call_runner.claim_ledger is not None:
                 return
             place = known.find_endpoint(self._settings.endpoint)
             if place is None or place.service is None:
@@ -229,7 +230,7 @@
                 known.limits.claim_window_seconds,
                 self._clock,
             )
-            service_runner.claim_ledger = claim_ledger
+            call_runner.claim_ledger = claim_ledger
             for coroutine in claim_ledger.list_tasks():
                 self._start(coroutine)
 
@@ -341,10 +342,17 @@
                 extra={"open": self._service.open_count},
             )
 
+    @property
+    def _abandoning_count(self) -> int:
+        if not isinstance(self._runner, service_runner.ServiceRunner):
+            return 0
+        claim_ledger = self._runner.claim_ledger
+        return claim_ledger.abandoning_count if claim_ledger else 0
+
     async def _flush(self) -> None:
         try:
             async with asyncio.timeout(FLUSH_LIMIT_SECONDS):
-                while self._outbox.waiting_count:
+                while self._outbox.waiting_count or self._abandoning_count:
                     await self._outbox.flush()
                     await asyncio.sleep(DRAIN_POLL_SECONDS)
         except TimeoutError:
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -61,7 +61,6 @@
     :param attempt_runner: runs attempts.
     :param config_follower: holds the configuration in force.
     :param outbox: holds bills until they are durable.
-    :param result_table: keeps the results of claimed requests.
     :param make_heartbeat: returns this agent's present state.
     :param system_clock: tells the time.
     :param strikes: the strikes that this agent knows.
@@ -75,7 +74,6 @@
         attempt_runner: runner.Runner,
         config_follower: follower.Follower,
         outbox: bill_outbox.BillOutbox,
-        result_table: results.ResultTable,
         make_heartbeat: HeartbeatMaker,
         system_clock: clock.Clock,
         strikes: strike_board.StrikeBoard,
@@ -86,7 +84,6 @@
         self._runner = attempt_runner
         self._follower = config_follower
         self._outbox = outbox
-        self._results = result_table
         self._make_heartbeat = make_heartbeat
         self._clock = system_clock
         self._demands = demand.DemandBoard(SILENCE_SECONDS)
@@ -180,7 +177,13 @@
                 case "cancel":
                     return
                 case "settled":
-                    running.settle(frame.settled.is_durable)
+                    running.settle(
+                        frame.settled.is_durable,
+                        [
+                            wire_codec.decode_cost(cost)
+                            for cost in frame.settled.costs
+                        ],
+                    )
                     return
 
     async def Watch(self, stream: WatchStream) -> None:  # noqa: N802
@@ -287,7 +290,8 @@
         key = ledger.ClaimKey(
             message.customer, message.service, message.idempotency_key
         )
-        await stream.send_message(_encode_result(self._results.find(key)))
+        found = self._runner.find_result(key, message.claim_id)
+        await stream.send_message(_encode_result(found))
 
     async def Collect(self, stream: CollectStream) -> None:  # noqa: N802
         """Append another instance's record, joined with others'.
--- a/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
@@ -24,6 +24,7 @@
 SUSPECT_SECONDS = 3.0
 STALL_SECONDS = 2.0
 PROBE_SECONDS = 0.5
+PROBE_REDIAL_SECONDS = 0.05
 AVOID_SECONDS = 5.0
 IDLE_SECONDS = 30.0
 
@@ -221,11 +222,15 @@
 
     async def _probe_once(self) -> bool:
         before = self._state.sequence if self._state else 0
+        dialled = self._dial()
         with self._has_heard.subscribe() as has_heard:
-            dialled = self._dial()
             try:
                 async with asyncio.timeout(PROBE_SECONDS):
-                    while not dialled.has_heard and not dialled.is_closed:
+                    while not dialled.has_heard:
+                        if dialled.is_closed:
+                            # What cut the first may have cut this one too.
+                            await asyncio.sleep(PROBE_REDIAL_SECONDS)
+                            dialled = self._dial()
                         await has_heard.wait()
                         has_heard.clear()
             except TimeoutError:
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -32,6 +32,9 @@
 
 STEP = "dispatch"
 RETRY_SECONDS = 2.0
+REFUSAL_GRACE_SECONDS = 0.25
+REDIAL_WAIT_SECONDS = 2.0
+REDIAL_POLL_SECONDS = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -109,16 +112,16 @@
             if outcome.is_ok():
                 return outcome
             if not self._may_retry(item, outcome.error):
-                return expression.Error(item.finish_refusal(outcome.error))
+                return expression.Error(request.finish_refusal(outcome.error))
             self._metrics.count(
                 metrics.Metric.RETRIED, outcome.error.reason.value
             )
 
     def _may_retry(self, item: job.Job, refusal: errors.Refusal) -> bool:
+        if item.is_corrupt or refusal is item.exhausted:
+            return False
         failed = retries.Failed(refusal, item.attempts, item.request.deadline)
-        if refusal is item.exhausted or not retries.is_worth_retrying(
-            failed, self._clock.wall()
-        ):
+        if not retries.is_worth_retrying(failed, self._clock.wall()):
             return False
         if self._budget.take(item.customer, self._clock.monotonic()):
             return True
@@ -126,21 +129,38 @@
         return False
 
     async def _try_once(self, item: job.Job) -> Outcome:
-        refusal = self._quarantine.check(item.digest)
-        if refusal is not None:
-            return expression.Error(refusal)
-        link = self._choose(item)
-        if link is None:
-            item.exhausted = item.last_refusal or self._refuse_unsent(item)
-            return expression.Error(item.exhausted)
+        found = await self._find_link(item)
+        if found.is_error():
+            return expression.Error(found.error)
         try:
-            leg = await self._open(item, link)
+            leg = await self._open(item, found.ok)
         except errors.PeerError as error:
-            refusal = await self._describe_failure(link, error)
-            await self._note_refused(item, link, refusal)
+            refusal = await self._describe_failure(found.ok, error)
+            item.note_broken(found.ok.address)
+            await self._note_refused(item, found.ok, refusal)
             return expression.Error(refusal)
         return await self._attempt(item, [leg])
 
+    async def _find_link(
+        self, item: job.Job
+    ) -> expression.Result[agent_link.AgentLink, errors.Refusal]:
+        """Choose an endpoint; a begun answer waits for one to be dialled."""
+        give_up_at = min(
+            item.request.deadline, self._clock.wall() + REDIAL_WAIT_SECONDS
+        )
+        while True:
+            # Asked each time: strikes may come in during the wait.
+            refusal = self._quarantine.check(item.digest)
+            if refusal is not None:
+                return expression.Error(refusal)
+            link = self._choose(item)
+            if link is not None:
+                return expression.Ok(link)
+            if not item.has_started or self._clock.wall() >= give_up_at:
+                item.exhausted = item.last_refusal or self._refuse_unsent(item)
+                return expression.Error(item.exhausted)
+            await asyncio.sleep(REDIAL_POLL_SECONDS)
+
     async def _describe_failure(
         self,
         link: agent_link.AgentLink,
@@ -237,7 +257,7 @@
         request = item.request
         number = request.next_attempt()
         item.attempts += 1
-        item.unresolved += 1
+        request.unresolved += 1
         attempt = work.Attempt(
             request.request_id,
             number,
@@ -256,7 +276,10 @@
         remaining = item.request.deadline - self._clock.wall()
         outcome: Outcome = expression.Error(self._refuse_late())
         try:
-            async with asyncio.timeout(max(0.0, remaining)):
+            # The agent's own word at the deadline is worth a moment's wait.
+            async with asyncio.timeout(
+                max(0.0, remaining) + REFUSAL_GRACE_SECONDS
+            ):
                 outcome = await self._race(item, legs)
         except TimeoutError:
             item.last_refusal = outcome.error
@@ -335,26 +358,29 @@
     async def _next_piece(self, item: job.Job, leg: hedge.Leg) -> Answer:
         """Return the first answer that decides something."""
         while True:
-            answer = await self._next_answer(leg)
+            answer = await self._next_answer(item, leg)
             if not isinstance(answer, work.Accepted):
                 return answer
             leg.is_accepted = True
             self._catch_up(leg.link, answer.configuration_offset)
 
-    async def _next_answer(self, leg: hedge.Leg) -> Answer:
+    async def _next_answer(self, item: job.Job, leg: hedge.Leg) -> Answer:
         try:
             answer = await leg.run.next_answer()
         except errors.PeerError as error:
-            return await self._fail(leg, error)
+            return await self._fail(item, leg, error)
         leg.link.note_progress()
         return answer
 
     async def _fail(
-        self, leg: hedge.Leg, error: errors.PeerError
+        self, item: job.Job, leg: hedge.Leg, error: errors.PeerError
     ) -> work.Refused:
         refusal = await self._describe_failure(
             leg.link, error, leg.is_accepted
         )
+        item.is_corrupt |= isinstance(error, errors.CorruptAnswerError)
+        if refusal.reason is errors.Reason.ENDPOINT_FAILED:
+            item.note_broken(leg.link.address)
         return work.Refused(refusal, configuration.NO_OFFSET)
 
     def _refuse_late(self) -> errors.Refusal:
@@ -389,14 +415,14 @@
                     ended = answer
                     item.finish(answer)
             except errors.PeerError as error:
-                answer = await self._fail(leg, error)
+                answer = await self._fail(item, leg, error)
                 break
             if ended is not None and item.assembler.is_complete:
                 self._quarantine.note_answer(item.digest)
                 return expression.Ok(
                     Completed(ended, leg.run, item.request.origin.endpoint)
                 )
-            answer = await self._next_answer(leg)
+            answer = await self._next_answer(item, leg)
         self._catch_up(leg.link, answer.configuration_offset)
         if _is_said_by_agent(answer):
             item.target.note_failed()
@@ -420,8 +446,8 @@
         refusal: errors.Refusal,
     ) -> None:
         item.last_refusal = refusal
-        if refusal.outcome is errors.Outcome.NOT_RUN:
-            item.unresolved -= 1
+        if _did_not_run(refusal):
+            item.request.unresolved -= 1
         match refusal.reason:
             case errors.Reason.AGENT_BEHIND:
                 if await link.push_configuration():
@@ -445,3 +471,11 @@
         answer.refusal.reason is errors.Reason.ENDPOINT_FAILED
         and answer.configuration_offset != configuration.NO_OFFSET
     )
+
+
+def _did_not_run(refusal: errors.Refusal) -> bool:
+    # One that lost its claim did not run itself; the winner may have.
+    return (
+        refusal.outcome is errors.Outcome.NOT_RUN
+        or refusal.reason is errors.Reason.CLAIM_LOST
+    )
--- a/packages/wagtailstream-entry/wagtailstream_entry/job.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/job.py
@@ -1,7 +1,6 @@
 """One piece of work over all its attempts."""
 
 import collections.abc
-import dataclasses
 
 from wagtailstream_core import admission, assembly, clock, errors, work
 from wagtailstream_entry import exchange, target
@@ -32,13 +31,14 @@
         self.tried: set[str] = set()
         self.attempts = 0
         self.digest = work.digest(make_work(0))
-        # Attempts of which it is not known that they did not run.
-        self.unresolved = 0
+        # Whether what was passed on differs from what was sent.
+        self.is_corrupt = False
         self.last_refusal: errors.Refusal | None = None
         self.exhausted: errors.Refusal | None = None
         self.late: admission.Late | None = None
         self._sink = sink
         self._has_started = False
+        self._broken: set[str] = set()
 
     @property
     def has_started(self) -> bool:
@@ -63,14 +63,18 @@
         if self.late is None or late.retry_at < self.late.retry_at:
             self.late = late
 
-    def finish_refusal(self, refusal: errors.Refusal) -> errors.Refusal:
-        """Return the final refusal: never "not run" if an attempt may have.
+    def note_broken(self, address: str) -> None:
+        """Note a connection that broke; earlier ones are worth another try.
 
-        :param refusal: the last attempt's refusal.
+        A begun answer is lost unless somebody goes on with it, and a
+        connection that breaks says little of the endpoint behind it. An
+        endpoint that died, or refused, is not asked again.
+
+        :param address: the agent's.
         """
-        if self.unresolved == 0:
-            return refusal
-        return dataclasses.replace(refusal, outcome=errors.Outcome.UNKNOWN)
+        if self._has_started:
+            self.tried -= self._broken
+            self._broken.add(address)
 
     async def write(
         self, pieces: collections.abc.Sequence[bytes], now: clock.Clock
@@ -97,7 +101,7 @@
         self.assembler.finish(
             assembly.EndMark(
                 self.request.request_id,
-                ended.cost.attempt,
+                ended.attempt,
                 ended.count,
                 ended.digest,
             )
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -38,13 +38,19 @@
 
     def __init__(self, attempt: work.Attempt, script: str) -> None:
         self.is_closed = False
+        self.released = asyncio.Event()
         self._attempt = attempt
         self._script = list(script)
+        self._sent = b""
 
     async def next_answer(self) -> dispatch.Answer:
         if not self._script:
             await asyncio.Event().wait()
-        return self._make(self._script.pop(0))
+        letter = self._script.pop(0)
+        if letter == "w":
+            await self.released.wait()
+            return await self.next_answer()
+        return self._make(letter)
 
     def _make(self, letter: str) -> dispatch.Answer:
         number = self._attempt.number
@@ -52,11 +58,12 @@
             case "a":
                 return work.Accepted(0)
             case "c":
+                self._sent += TEXT
                 return assembly.Chunk("r", number, 0, TEXT)
             case "e":
                 cost = billing.AttemptCost(attempt=number, endpoint="e")
-                digest = hashlib.sha256(TEXT).digest()
-                return work.Ended(1, digest, cost)
+                digest = hashlib.sha256(self._sent).digest()
+                return work.Ended(number, 1, digest, cost)
             case "f":
                 refusal = errors.not_run(
                     errors.Reason.ENDPOINT_FULL, "", "admit", "agent", 9.0
@@ -76,6 +83,7 @@
         self.is_usable = True
         self.is_suspect = False
         self.is_draining = False
+        self.is_dead = False
         self.in_flight = 0
         self.runs: list[FakeRun] = []
         self._scripts = list(scripts)
@@ -117,7 +125,7 @@
     note_failure = note_draining = note_progress
 
     async def is_alive(self) -> bool:
-        return True
+        return not self.is_dead
 
 
 class FakeQuarantine:
@@ -132,6 +140,9 @@
     def note_answer(self, digest: str) -> None:
         pass
 
+    async def note_death(self, digest: str, endpoint: str) -> None:
+        pass
+
 
 class World:
     """A dispatcher with fake links."""
@@ -253,6 +264,33 @@
     assert bad.runs[0].is_closed
 
 
+async def test_a_hedge_that_may_have_run_is_not_told_as_not_run():
+    slow, lost = FakeLink("slow", "wf"), FakeLink("lost", "ax")
+    lost.in_flight = 3
+    world = World(slow, lost)
+    world.learn_first_pieces(0.01)
+    running = asyncio.ensure_future(world.run())
+    while not lost.runs:
+        await asyncio.sleep(0.005)
+    slow.runs[0].released.set()
+    outcome, _ = await running
+    assert outcome.error.outcome is errors.Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize(("is_dead", "runs"), [(False, 2), (True, 1)])
+async def test_a_begun_answer_asks_again_only_where_nobody_died(
+    monkeypatch: pytest.MonkeyPatch, is_dead: bool, runs: int
+):
+    monkeypatch.setattr(dispatch, "REDIAL_WAIT_SECONDS", 0.05)
+    first, other = FakeLink("first", "acx", "ae"), FakeLink("other", "ax")
+    first.is_dead = is_dead
+    other.in_flight = 3
+    outcome, content = await World(first, other).run()
+    assert len(first.runs) == runs
+    assert outcome.is_ok() is not is_dead
+    assert content == TEXT
+
+
 @pytest.mark.parametrize("why", ["service", "busy", "suspect"])
 async def test_no_hedge(why: str):
     stuck, other = FakeLink("stuck", "a"), FakeLink("other", "ace")
