Expect the earlier refusal in an endpoint's queue

Ruled out: an estimate at the entry; three runs alone gave the same refusal from the agent's slots, and the request did not run. The check asks for more than before: the step and a Retry-After besides the code, the outcome and the count of runs. After: test_not_run passes, 12 tests. Conclusion: the refusal is allowed; deadline-past stays proved in test_path.

--- a/tests/integration/test_not_run.py
+++ b/tests/integration/test_not_run.py
@@ -61,7 +61,7 @@
         assert int(answers[-1].headers["Retry-After"]) > 0
 
 
-def test_deadline_past_in_the_endpoints_queue() -> None:
+def test_deadline_out_of_reach_in_the_endpoints_queue() -> None:
     options = fleet.Options(engine=("--slots", "1"))
     with support.run_fleet(1, options) as started:
         support.slow_engines(started, 0.02)
@@ -75,7 +75,9 @@
         )
         deadline = make_deadline(1.0)
         answer = support.chat(entry, "Short.", Wagtail_Deadline=deadline)
-        check(started, answer, "deadline-past")
+        check(started, answer, "deadline-unreachable")
+        assert answer.error["step"] == "admit"
+        assert int(answer.headers["Retry-After"]) > 0
         assert all(future.result().is_whole for future in running)
         assert support.count_runs(started, answer.request_id) == 0
 
