--- a/packages/wagtailstream-core/wagtailstream_core/ledger.py
+++ b/packages/wagtailstream-core/wagtailstream_core/ledger.py
@@ -26,7 +26,7 @@
     return STREAM_PREFIX + service
 
 
-@dataclasses.dataclass(frozen=True, order=True)
+@dataclasses.dataclass(frozen=True, order=True, slots=True)
 class ClaimKey:
     """What may run at most once: a key of a customer at a service."""
 
@@ -154,12 +154,13 @@
     EXPIRED = "expired"
 
 
-@dataclasses.dataclass
+@dataclasses.dataclass(slots=True)
 class _KeyState:
     key_time: float
     winner: Claim | None = None
-    abandoned: set[str] = dataclasses.field(default_factory=set)
-    lost: set[str] = dataclasses.field(default_factory=set)
+    # Empty for most keys: frozen sets share the empty one.
+    abandoned: frozenset[str] = frozenset()
+    lost: frozenset[str] = frozenset()
     completion: Completion | None = None
 
     def knows(self, claim_id: str) -> bool:
@@ -212,14 +213,14 @@
         if state.winner is None:
             state.winner = claim
         else:
-            state.lost.add(claim.claim_id)
+            state.lost |= {claim.claim_id}
 
     def _fold_abandonment(self, entry: Abandonment, log_time: float) -> None:
         # Also noted for a claim not seen yet, which then never counts.
         state = self._keys.setdefault(entry.key, _KeyState(log_time))
         if state.completion is not None:
             return
-        state.abandoned.add(entry.claim_id)
+        state.abandoned |= {entry.claim_id}
         if state.winner and state.winner.claim_id == entry.claim_id:
             state.winner = None
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,6 +10,7 @@
 from wagtailstream_platform import metrics
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
+PACKAGES = DOCS.parent / "packages"
 
 
 def read_rows(name: str) -> list[list[str]]:
@@ -38,6 +39,12 @@
     assert names == {metric.value for metric in metrics.Metric}
 
 
+@pytest.mark.parametrize("metric", list(metrics.Metric))
+def test_every_metric_is_sent(metric: metrics.Metric) -> None:
+    sources = [path.read_text() for path in PACKAGES.rglob("*.py")]
+    assert any(f"Metric.{metric.name}" in source for source in sources)
+
+
 @pytest.mark.parametrize(
     "page",
     [DOCS.parent / "README.md", *sorted(DOCS.rglob("*.md"))],
