Give the status page and the outbox's drain their own places

Ruled out: a base class for both applications; they share too little else. Before: two copies, one large module.

--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -50,9 +50,9 @@
 )
 
 DRAIN_POLL_SECONDS = 0.05
+FINISH_LIMIT_SECONDS = 5.0
 # Entries hear of the drain before connections may close.
 DRAIN_NOTICE_SECONDS = 0.25
-FLUSH_LIMIT_SECONDS = 5.0
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -324,8 +324,8 @@
         await self._wait_idle()
         server.close()
         await server.wait_closed()
-        await self._service.wait_finished(FLUSH_LIMIT_SECONDS)
-        await self._flush()
+        await self._service.wait_finished(FINISH_LIMIT_SECONDS)
+        await self._outbox.drain(self._has_abandonments)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -342,21 +342,8 @@
                 extra={"open": self._service.open_count},
             )
 
-    @property
-    def _abandoning_count(self) -> int:
+    def _has_abandonments(self) -> bool:
         if not isinstance(self._runner, service_runner.ServiceRunner):
-            return 0
+            return False
         claim_ledger = self._runner.claim_ledger
-        return claim_ledger.abandoning_count if claim_ledger else 0
-
-    async def _flush(self) -> None:
-        try:
-            async with asyncio.timeout(FLUSH_LIMIT_SECONDS):
-                while self._outbox.waiting_count or self._abandoning_count:
-                    await self._outbox.flush()
-                    await asyncio.sleep(DRAIN_POLL_SECONDS)
-        except TimeoutError:
-            _LOGGER.error(
-                "bills not durable at stop",
-                extra={"bills": self._outbox.waiting_count},
-            )
+        return claim_ledger is not None and claim_ledger.abandoning_count > 0
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -12,7 +12,6 @@
 
 from wagtailstream_core import cascade, clock, freshness, wire_codec, wire_pb2
 from wagtailstream_entry import (
-    agent_link,
     authenticate,
     climb_ladder,
     connection,
@@ -35,6 +34,7 @@
     sampling,
     settings,
     settle,
+    status_report,
     version_watch,
 )
 from wagtailstream_platform import (
@@ -51,7 +51,6 @@
 )
 
 DRAIN_POLL_SECONDS = 0.05
-FLUSH_LIMIT_SECONDS = 5.0
 ABORT_LIMIT_SECONDS = 2.0
 MAX_HEADER_BYTES = 16384
 MAX_BUFFER_BYTES = 1048576
@@ -276,64 +275,17 @@
         )
 
     def _describe(self) -> responses.Json:
-        state = self._follower.state
-        return {
-            "instance": self._settings.instance,
-            "role": "entry",
-            "data_centre": self._settings.data_centre,
-            "offset": state.offset,
-            "revision": state.revision,
-            "bundle": state.bundle.name if state.bundle else None,
-            "freshness": self._follower.judge().value,
-            "draining": self._is_draining,
-            "in_flight": len(self._open_requests),
-            "bills_waiting": self._outbox.waiting_count,
-            "withdrawn": [str(v) for v in sorted(state.withdrawn)],
-            "suspended": [str(v) for v in sorted(state.suspended)],
-            "rollouts": [
-                {
-                    "model": rollout.model,
-                    "candidate": rollout.candidate,
-                    "stage": rollout.stage,
-                }
-                for rollout in state.rollouts
-            ],
-            "versions": self._describe_versions(),
-            "counters": self._metrics.counts,
-            "agents": [
-                self._describe_link(link) for link in self._table.list_links()
-            ],
-        }
-
-    def _describe_versions(self) -> list[responses.Json]:
-        return [
-            {
-                "version": str(version),
-                "answers": round(track.counts.answers, 1),
-                "quality": round(track.counts.quality, 3),
-                "evidence": round(track.strongest, 2),
-            }
-            for version, track in sorted(self._watch.tracks.items())
-        ]
-
-    def _describe_link(self, link: agent_link.AgentLink) -> responses.Json:
-        state = link.state
-        if state is None:
-            return {"address": link.address, "reachable": False}
-        return {
-            "address": link.address,
-            "instance": state.instance,
-            "endpoint": state.endpoint,
-            "data_centre": state.data_centre,
-            "reachable": not link.is_suspect,
-            "usable": link.is_usable,
-            "draining": state.is_draining,
-            "offset": state.configuration_offset,
-            "running": state.running,
-            "queued": state.queued,
-            "in_flight": link.in_flight,
-            "loaded": [str(v) for v in sorted(state.loaded)],
-        }
+        reading = status_report.EntryReading(
+            self._settings.instance,
+            self._settings.data_centre,
+            self._follower.state,
+            self._follower.judge(),
+            self._is_draining,
+            len(self._open_requests),
+            self._outbox.waiting_count,
+            self._metrics.counts,
+        )
+        return status_report.describe(reading, self._table, self._watch)
 
     async def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
@@ -383,7 +335,7 @@
         await self._wait_idle()
         server.stop()
         await self._settle.wait_settled()
-        await self._flush()
+        await self._outbox.drain()
         self._table.close()
         self._sampler.close()
         for task in tasks:
@@ -413,15 +365,3 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(ABORT_LIMIT_SECONDS):
                 await self._wait_answered()
-
-    async def _flush(self) -> None:
-        try:
-            async with asyncio.timeout(FLUSH_LIMIT_SECONDS):
-                while self._outbox.waiting_count:
-                    await self._outbox.flush()
-                    await asyncio.sleep(DRAIN_POLL_SECONDS)
-        except TimeoutError:
-            _LOGGER.error(
-                "bills not durable at stop",
-                extra={"bills": self._outbox.waiting_count},
-            )
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/status_report.py
@@ -0,0 +1,105 @@
+"""Describes what an entry and the agents it knows have in force."""
+
+import collections.abc
+import dataclasses
+
+from wagtailstream_core import configuration, freshness
+from wagtailstream_entry import agent_link, links, responses, version_watch
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryReading:
+    """What an entry reports of itself.
+
+    :param in_flight: requests under way.
+    :param bills_waiting: bills that the log does not hold yet.
+    :param counters: all counters so far, by name.
+    """
+
+    instance: str
+    data_centre: str
+    configuration: configuration.Configuration
+    freshness: freshness.Freshness
+    is_draining: bool
+    in_flight: int
+    bills_waiting: int
+    counters: dict[str, int]
+
+
+def describe(
+    reading: EntryReading,
+    table: links.LinkTable,
+    watch: version_watch.VersionWatch,
+) -> responses.Json:
+    """Return the body of the status page.
+
+    :param reading: what the entry reports of itself.
+    :param table: the agents that it knows.
+    :param watch: the evidence on versions.
+    """
+    state = reading.configuration
+    return {
+        "instance": reading.instance,
+        "role": "entry",
+        "data_centre": reading.data_centre,
+        "offset": state.offset,
+        "revision": state.revision,
+        "bundle": state.bundle.name if state.bundle else None,
+        "freshness": reading.freshness.value,
+        "draining": reading.is_draining,
+        "in_flight": reading.in_flight,
+        "bills_waiting": reading.bills_waiting,
+        "withdrawn": [str(v) for v in sorted(state.withdrawn)],
+        "suspended": [str(v) for v in sorted(state.suspended)],
+        "rollouts": _describe_rollouts(state.rollouts),
+        "versions": _describe_versions(watch),
+        "counters": reading.counters,
+        "agents": [_describe_link(link) for link in table.list_links()],
+    }
+
+
+def _describe_rollouts(
+    rollouts: collections.abc.Iterable[configuration.RolloutStage],
+) -> list[responses.Json]:
+    return [
+        {
+            "model": rollout.model,
+            "candidate": rollout.candidate,
+            "stage": rollout.stage,
+        }
+        for rollout in rollouts
+    ]
+
+
+def _describe_versions(
+    watch: version_watch.VersionWatch,
+) -> list[responses.Json]:
+    return [
+        {
+            "version": str(version),
+            "answers": round(track.counts.answers, 1),
+            "quality": round(track.counts.quality, 3),
+            "evidence": round(track.strongest, 2),
+        }
+        for version, track in sorted(watch.tracks.items())
+    ]
+
+
+def _describe_link(link: agent_link.AgentLink) -> responses.Json:
+    state = link.state
+    if state is None:
+        return {"address": link.address, "reachable": False}
+    return {
+        "address": link.address,
+        "instance": state.instance,
+        "endpoint": state.endpoint,
+        "data_centre": state.data_centre,
+        "reachable": not link.is_suspect,
+        "usable": link.is_usable,
+        "draining": state.is_draining,
+        "offset": state.configuration_offset,
+        "running": state.running,
+        "queued": state.queued,
+        "in_flight": link.in_flight,
+        "loaded": [str(v) for v in sorted(state.loaded)],
+    }
--- a/packages/wagtailstream-platform/wagtailstream_platform/bill_outbox.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/bill_outbox.py
@@ -8,6 +8,8 @@
 from wagtailstream_platform import log_client, metrics
 
 RETRY_SECONDS = 0.25
+DRAIN_LIMIT_SECONDS = 5.0
+DRAIN_POLL_SECONDS = 0.05
 MAX_BILLS_PER_APPEND = 500
 
 _LOGGER = logging.getLogger(__name__)
@@ -73,6 +75,24 @@
                 self._added.set()
                 await asyncio.sleep(RETRY_SECONDS)
 
+    async def drain(
+        self, has_more: collections.abc.Callable[[], bool] = lambda: False
+    ) -> None:
+        """Append until nothing waits, within a limit; for a planned stop.
+
+        :param has_more: whether something else still waits for the log.
+        """
+        try:
+            async with asyncio.timeout(DRAIN_LIMIT_SECONDS):
+                while self._waiting or has_more():
+                    await self.flush()
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+        except TimeoutError:
+            _LOGGER.error(
+                "bills not durable at stop",
+                extra={"bills": len(self._waiting)},
+            )
+
     async def flush(self) -> bool:
         """Append all that waits now; return whether the log took it."""
         async with self._appending:
