Move what heartbeats carry to a codec of its own

Ruled out: touching the messages; this is a move only. Before: wire_codec and tally_codec. After: wire_codec (runs, results, records) and heartbeat_codec; tests of core, agent and platform, test_crash and test_bad_version pass.

--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -20,10 +20,10 @@
     bundle,
     configuration,
     freshness,
+    heartbeat_codec,
     ledger,
     records,
     signing,
-    wire_codec,
     wire_pb2,
 )
 from wagtailstream_entry import authenticate
@@ -197,7 +197,7 @@
         for number, raw in enumerate(state):
             make_heartbeat(number).SerializeToString()
             message = wire_pb2.Heartbeat.FromString(raw)
-            wire_codec.decode_contacts(message.contacts)
+            heartbeat_codec.decode_contacts(message.contacts)
         return count
 
 
@@ -231,7 +231,7 @@
             wire_pb2.ModelVersion(model="drafter", version=version)
             for version in ("1", "2")
         ],
-        contacts=wire_codec.encode_contacts(contacts),
+        contacts=heartbeat_codec.encode_contacts(contacts),
     )
 
 
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -30,8 +30,8 @@
     clock,
     configuration,
     errors,
+    heartbeat_codec,
     tallies,
-    tally_codec,
     wire_codec,
     wire_pb2,
     work,
@@ -255,7 +255,7 @@
                 wire_pb2.ModelVersion(model=v.model, version=v.version)
                 for v in (sorted(state.loaded) if state else ())
             ],
-            contacts=wire_codec.encode_contacts(self._follower.contacts),
+            contacts=heartbeat_codec.encode_contacts(self._follower.contacts),
             service_mean_ms=wire_codec.to_milliseconds(
                 self._slots.service_time.mean or 0.0
             ),
@@ -267,7 +267,7 @@
                 for priority, queued in self._slots.count_queued().items()
             ],
             stalled=self._stall_watch.is_stalled,
-            tallies=tally_codec.encode_tallies(
+            tallies=heartbeat_codec.encode_tallies(
                 self._board.list_shared(self._clock.monotonic())
             ),
         )
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -17,9 +17,9 @@
     clock,
     demand,
     errors,
+    heartbeat_codec,
     ledger,
     tallies,
-    tally_codec,
     wire_codec,
     wire_grpc,
     wire_pb2,
@@ -233,15 +233,15 @@
     def _take_heartbeat(self, message: wire_pb2.Heartbeat) -> None:
         self._strikes.take(message)
         self._follower.merge_contacts(
-            wire_codec.decode_contacts(message.contacts)
+            heartbeat_codec.decode_contacts(message.contacts)
         )
         self._demands.put(
             message.instance,
-            wire_codec.decode_demands(message.demands),
+            heartbeat_codec.decode_demands(message.demands),
             self._clock.monotonic(),
         )
         self._board.merge(
-            tally_codec.decode_tallies(message.tallies),
+            heartbeat_codec.decode_tallies(message.tallies),
             self._clock.monotonic(),
         )
 
@@ -250,7 +250,7 @@
         others = self._demands.sum_others(
             peer.instance, self._clock.monotonic()
         )
-        message.demands.extend(wire_codec.encode_demands(others))
+        message.demands.extend(heartbeat_codec.encode_demands(others))
         return message
 
     async def PushConfiguration(  # noqa: N802
--- /dev/null
+++ b/packages/wagtailstream-core/wagtailstream_core/heartbeat_codec.py
@@ -0,0 +1,156 @@
+"""Converts between what heartbeats carry and the data classes."""
+
+import collections.abc
+
+from wagtailstream_core import (
+    configuration,
+    demand,
+    freshness,
+    strikes,
+    tallies,
+    wire_codec,
+    wire_pb2,
+)
+
+
+def encode_contacts(
+    contacts: collections.abc.Iterable[freshness.LogContact],
+) -> list[wire_pb2.LogContact]:
+    """Return contacts with the log for a heartbeat.
+
+    :param contacts: one a data centre.
+    """
+    return [
+        wire_pb2.LogContact(
+            data_centre=contact.data_centre,
+            reached_unix_ms=wire_codec.to_milliseconds(contact.reached_at),
+            tail_offset=contact.tail_offset,
+            failed_unix_ms=wire_codec.to_milliseconds(contact.failed_at),
+        )
+        for contact in contacts
+    ]
+
+
+def decode_contacts(
+    contacts: collections.abc.Iterable[wire_pb2.LogContact],
+) -> list[freshness.LogContact]:
+    """Return contacts with the log from a heartbeat.
+
+    :param contacts: one a data centre.
+    """
+    return [
+        freshness.LogContact(
+            contact.data_centre,
+            wire_codec.to_seconds(contact.reached_unix_ms),
+            contact.tail_offset,
+            wire_codec.to_seconds(contact.failed_unix_ms),
+        )
+        for contact in contacts
+    ]
+
+
+def encode_demands(
+    demands: collections.abc.Iterable[demand.CustomerDemand],
+) -> list[wire_pb2.CustomerDemand]:
+    """Return customers' demands for a heartbeat.
+
+    :param demands: one a customer.
+    """
+    return [
+        wire_pb2.CustomerDemand(
+            customer=item.customer, requests_per_second=item.rate
+        )
+        for item in demands
+    ]
+
+
+def decode_demands(
+    demands: collections.abc.Iterable[wire_pb2.CustomerDemand],
+) -> list[demand.CustomerDemand]:
+    """Return customers' demands from a heartbeat.
+
+    :param demands: one a customer.
+    """
+    return [
+        demand.CustomerDemand(item.customer, item.requests_per_second)
+        for item in demands
+    ]
+
+
+def add_strikes(
+    message: wire_pb2.Heartbeat,
+    news: collections.abc.Iterable[strikes.News],
+) -> None:
+    """Put news of strikes into a heartbeat.
+
+    :param message: the heartbeat.
+    :param news: strikes and clearings.
+    """
+    for item in news:
+        if isinstance(item, strikes.Strike):
+            message.strikes.add(
+                digest=item.digest,
+                endpoint=item.endpoint,
+                struck_unix_ms=wire_codec.to_milliseconds(item.struck_at),
+            )
+        else:
+            message.clearings.add(
+                digest=item.digest,
+                cleared_unix_ms=wire_codec.to_milliseconds(item.cleared_at),
+            )
+
+
+def decode_strikes(message: wire_pb2.Heartbeat) -> list[strikes.News]:
+    """Return the news of strikes in a heartbeat.
+
+    :param message: the heartbeat.
+    """
+    struck: list[strikes.News] = [
+        strikes.Strike(
+            s.digest, s.endpoint, wire_codec.to_seconds(s.struck_unix_ms)
+        )
+        for s in message.strikes
+    ]
+    return struck + [
+        strikes.Clearing(c.digest, wire_codec.to_seconds(c.cleared_unix_ms))
+        for c in message.clearings
+    ]
+
+
+def encode_tallies(
+    counted: collections.abc.Iterable[tallies.Tally],
+) -> list[wire_pb2.VersionTally]:
+    """Return the counts per version for a heartbeat.
+
+    :param counted: the tallies.
+    """
+    return [
+        wire_pb2.VersionTally(
+            instance=tally.instance,
+            model=tally.version.model,
+            version=tally.version.version,
+            good=tally.counts.good,
+            bad=tally.counts.bad,
+            squares=tally.counts.squares,
+            epoch=tally.epoch,
+        )
+        for tally in counted
+    ]
+
+
+def decode_tallies(
+    messages: collections.abc.Iterable[wire_pb2.VersionTally],
+) -> list[tallies.Tally]:
+    """Return the counts per version of a heartbeat.
+
+    :param messages: the heartbeat's tallies.
+    """
+    return [
+        tallies.Tally(
+            message.instance,
+            configuration.ModelVersion(message.model, message.version),
+            message.epoch,
+            tallies.Counts(message.good, message.bad, message.squares),
+        )
+        for message in messages
+    ]
--- a/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/wire_codec.py
@@ -1,16 +1,11 @@
 """Converts between wire messages and the data classes of the core."""
 
-import collections.abc
-
 from wagtailstream_core import (
     assembly,
     billing,
     configuration,
-    demand,
     errors,
-    freshness,
     snapshots,
-    strikes,
     wire_pb2,
     work,
 )
@@ -295,70 +290,6 @@
     )
 
 
-def encode_contacts(
-    contacts: collections.abc.Iterable[freshness.LogContact],
-) -> list[wire_pb2.LogContact]:
-    """Return contacts with the log for a heartbeat.
-
-    :param contacts: one a data centre.
-    """
-    return [
-        wire_pb2.LogContact(
-            data_centre=contact.data_centre,
-            reached_unix_ms=to_milliseconds(contact.reached_at),
-            tail_offset=contact.tail_offset,
-            failed_unix_ms=to_milliseconds(contact.failed_at),
-        )
-        for contact in contacts
-    ]
-
-
-def decode_contacts(
-    contacts: collections.abc.Iterable[wire_pb2.LogContact],
-) -> list[freshness.LogContact]:
-    """Return contacts with the log from a heartbeat.
-
-    :param contacts: one a data centre.
-    """
-    return [
-        freshness.LogContact(
-            contact.data_centre,
-            to_seconds(contact.reached_unix_ms),
-            contact.tail_offset,
-            to_seconds(contact.failed_unix_ms),
-        )
-        for contact in contacts
-    ]
-
-
-def encode_demands(
-    demands: collections.abc.Iterable[demand.CustomerDemand],
-) -> list[wire_pb2.CustomerDemand]:
-    """Return customers' demands for a heartbeat.
-
-    :param demands: one a customer.
-    """
-    return [
-        wire_pb2.CustomerDemand(
-            customer=item.customer, requests_per_second=item.rate
-        )
-        for item in demands
-    ]
-
-
-def decode_demands(
-    demands: collections.abc.Iterable[wire_pb2.CustomerDemand],
-) -> list[demand.CustomerDemand]:
-    """Return customers' demands from a heartbeat.
-
-    :param demands: one a customer.
-    """
-    return [
-        demand.CustomerDemand(item.customer, item.requests_per_second)
-        for item in demands
-    ]
-
-
 def encode_offer(
     offer: snapshots.Offer,
 ) -> wire_pb2.ConfigurationRecords:
@@ -395,41 +326,3 @@
         ),
         message.snapshot,
     )
-
-
-def add_strikes(
-    message: wire_pb2.Heartbeat,
-    news: collections.abc.Iterable[strikes.News],
-) -> None:
-    """Put news of strikes into a heartbeat.
-
-    :param message: the heartbeat.
-    :param news: strikes and clearings.
-    """
-    for item in news:
-        if isinstance(item, strikes.Strike):
-            message.strikes.add(
-                digest=item.digest,
-                endpoint=item.endpoint,
-                struck_unix_ms=to_milliseconds(item.struck_at),
-            )
-        else:
-            message.clearings.add(
-                digest=item.digest,
-                cleared_unix_ms=to_milliseconds(item.cleared_at),
-            )
-
-
-def decode_strikes(message: wire_pb2.Heartbeat) -> list[strikes.News]:
-    """Return the news of strikes in a heartbeat.
-
-    :param message: the heartbeat.
-    """
-    struck: list[strikes.News] = [
-        strikes.Strike(s.digest, s.endpoint, to_seconds(s.struck_unix_ms))
-        for s in message.strikes
-    ]
-    return struck + [
-        strikes.Clearing(c.digest, to_seconds(c.cleared_unix_ms))
-        for c in message.clearings
-    ]
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -10,7 +10,13 @@
 import uuid_utils
 from tornado import httpserver
 
-from wagtailstream_core import cascade, clock, freshness, wire_codec, wire_pb2
+from wagtailstream_core import (
+    cascade,
+    clock,
+    freshness,
+    heartbeat_codec,
+    wire_pb2,
+)
 from wagtailstream_entry import (
     authenticate,
     climb_ladder,
@@ -191,8 +197,10 @@
             sequence=self._sequence,
             configuration_offset=self._follower.state.offset,
             draining=self._is_draining,
-            contacts=wire_codec.encode_contacts(self._follower.contacts),
-            demands=wire_codec.encode_demands(self._limiter.list_demands()),
+            contacts=heartbeat_codec.encode_contacts(self._follower.contacts),
+            demands=heartbeat_codec.encode_demands(
+                self._limiter.list_demands()
+            ),
             tallies=self._watch.list_shared(),
         )
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -15,7 +15,7 @@
     clock,
     configuration,
     errors,
-    wire_codec,
+    heartbeat_codec,
     wire_pb2,
 )
 from wagtailstream_entry import agent_link, connection, limit, link_choice
@@ -266,7 +266,7 @@
         :param message: the heartbeat.
         """
         self._follower.merge_contacts(
-            wire_codec.decode_contacts(message.contacts)
+            heartbeat_codec.decode_contacts(message.contacts)
         )
         self._take_tallies(message.tallies)
         own = self._follower.state.offset
--- a/packages/wagtailstream-entry/wagtailstream_entry/version_watch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/version_watch.py
@@ -12,11 +12,11 @@
     clock,
     configuration,
     errors,
+    heartbeat_codec,
     records,
     signing,
     suspension,
     tallies,
-    tally_codec,
     wire_pb2,
 )
 from wagtailstream_platform import follower, log_client, metrics
@@ -131,14 +131,14 @@
         """
         self._watch.merge(
             self._follower.state,
-            tally_codec.decode_tallies(news),
+            heartbeat_codec.decode_tallies(news),
             self._clock.monotonic(),
         )
 
     def list_shared(self) -> list[wire_pb2.VersionTally]:
         """Return the tallies for the next heartbeat."""
         now = self._clock.monotonic()
-        return tally_codec.encode_tallies(
+        return heartbeat_codec.encode_tallies(
             self._watch.list_shared(self._follower.state, now)
         )
 
--- a/packages/wagtailstream-platform/wagtailstream_platform/strike_board.py
+++ b/packages/wagtailstream-platform/wagtailstream_platform/strike_board.py
@@ -9,8 +9,8 @@
     bundle,
     clock,
     errors,
+    heartbeat_codec,
     strikes,
-    wire_codec,
     wire_pb2,
 )
 from wagtailstream_platform import alarm, follower, metrics
@@ -124,7 +124,7 @@
         :param message: its heartbeat.
         """
         if message.strikes or message.clearings:
-            self._merge(wire_codec.decode_strikes(message))
+            self._merge(heartbeat_codec.decode_strikes(message))
 
     def _merge(self, news: list[strikes.News]) -> None:
         oldest = self._clock.wall() - self._limits.quarantine_seconds
@@ -139,7 +139,7 @@
         :param position: what the peer was sent before.
         """
         part = self._table.read_since(position, MAX_NEWS_PER_HEARTBEAT)
-        wire_codec.add_strikes(message, part.news)
+        heartbeat_codec.add_strikes(message, part.news)
         if part.position < self._table.position:
             self._alarm.ring()
         return part.position
