--- a/packages/wagtailstream-core/wagtailstream_core/configuration.py
+++ b/packages/wagtailstream-core/wagtailstream_core/configuration.py
@@ -10,7 +10,14 @@
 import enum
 import typing
 
-from wagtailstream_core import bundle, canonical, errors, records, signing
+from wagtailstream_core import (
+    bundle,
+    bundle_check,
+    canonical,
+    errors,
+    records,
+    signing,
+)
 
 NO_OFFSET = -1
 
@@ -263,7 +270,7 @@
     state: Configuration, body: records.Publish, key_id: str
 ) -> Configuration:
     parsed = _parse_bundle(body.bundle)
-    problems = bundle.find_contradictions(parsed)
+    problems = bundle_check.find_contradictions(parsed)
     if problems:
         raise _RejectedError(Verdict.INVALID, "; ".join(problems))
     proposal = Proposal(parsed, canonical.digest(body.bundle), key_id)
--- a/packages/wagtailstream-entry/wagtailstream_entry/operations.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/operations.py
@@ -12,6 +12,7 @@
 
 from wagtailstream_core import (
     bundle,
+    bundle_check,
     canonical,
     configuration,
     errors,
@@ -61,7 +62,7 @@
     :raises errors.BundleError: with all that is wrong.
     """
     value = read_document(path)
-    problems = bundle.find_contradictions(bundle.parse(value, str(path)))
+    problems = bundle_check.find_contradictions(bundle.parse(value, str(path)))
     if problems:
         raise errors.BundleError("check", str(path), "\n".join(problems))
     return value
--- a/tests/core/test_bundle.py
+++ b/tests/core/test_bundle.py
@@ -5,7 +5,7 @@
 import pytest
 
 from tests.core import support
-from wagtailstream_core import bundle, errors
+from wagtailstream_core import bundle, bundle_check, errors
 
 CONTRADICTIONS: list[tuple[str, typing.Any, str]] = [
     ("models.0.stable", "9", "models.drafter.stable: 9 is no version"),
@@ -31,7 +31,7 @@
 
 def test_the_bundle_has_no_contradiction() -> None:
     parsed = bundle.parse(support.make_bundle(), "test")
-    assert bundle.find_contradictions(parsed) == []
+    assert bundle_check.find_contradictions(parsed) == []
 
 
 @pytest.mark.parametrize(("path", "value", "expected"), CONTRADICTIONS)
@@ -39,7 +39,7 @@
     path: str, value: typing.Any, expected: str
 ) -> None:
     parsed = bundle.parse(support.make_bundle((path, value)), "test")
-    problems = bundle.find_contradictions(parsed)
+    problems = bundle_check.find_contradictions(parsed)
     assert any(expected in problem for problem in problems), problems
 
 
@@ -49,7 +49,7 @@
         ("customers.0.services", []),
         ("customers.0.ladders", []),
     )
-    problems = bundle.find_contradictions(bundle.parse(document, "test"))
+    problems = bundle_check.find_contradictions(bundle.parse(document, "test"))
     assert problems == ["customers.atelier: may use no model and no service"]
 
 
