Share loads between instances, place by estimated time, climb by credit

Cause: each instance saw a fifth of the engines' load, so prompts of the largest model queued behind each other; climbing took no account of the time and price of a prompt. LOST: requests taken long after SIGTERM were given up at the end of the grace. REFUSED: a deadline that came while an endpoint worked was answered 503.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -22,12 +22,17 @@
     forward_stream,
     forwarding,
     front,
+    gossip,
     metrics,
     node,
+    peer_news,
     probe_server,
     replica,
+    reply,
+    request,
     rollout,
     store,
+    warm_prompts,
     wire,
 )
 
@@ -38,6 +43,9 @@
 # After SIGTERM, how long new connections may still come: two missed probes of
 # a second each, and a margin.
 LEAVE_SECONDS = 3.2
+# After SIGTERM, how long new requests are let in: the platform asks twice, a
+# second apart, before it sends connections elsewhere.
+ACCEPT_SECONDS = 2.5
 # Of the grace period, the part after which open requests are given up.
 GRACE_SHARE = 0.87
 # Longer heads than any limit of the configuration are not read at all.
@@ -91,23 +99,37 @@
         self._conductor = rollout.Conductor(
             topics.status, self._rollouts, records, log
         )
+        self._warm = warm_prompts.WarmPrompts()
         self._pool = endpoint_link.LinkPool(headers)
+        self._answerer = forwarding.Answerer(headers, log, counters)
         self._front = self._make_front(headers)
         self._server = caller_server.CallerServer(
             headers,
-            self._front.handle,
+            self._handle,
             self._current.max_body_bytes,
             log,
             counters,
         )
         self._probes = probe_server.ProbeServer(self._is_ready, counters)
         self._is_draining = False
+        self._refuses = False
+        self._boot = time.time_ns() // 1_000_000
+        self._gossip = gossip.Gossip(
+            settings.gossip_address,
+            settings.seeds,
+            self._make_news,
+            self._take_news,
+            log,
+        )
         self._stop = asyncio.Event()
 
     def _make_front(self, headers: wire.HeaderCodec) -> front.Front:
-        answerer = forwarding.Answerer(headers, self._log, self._counters)
+        answerer = self._answerer
         tries = forwarding.Tries(
-            self._settings.bounds.retry_budget, self._log, self._counters
+            self._settings.bounds.retry_budget,
+            lambda: self._gossip.process_count,
+            self._log,
+            self._counters,
         )
         sender = exchange.Sender(self._pool, headers)
         plain = forward_plain.PlainForwarder(
@@ -125,6 +147,8 @@
             tries,
             answerer,
             self._rollouts,
+            self._warm,
+            self._settings.credits_,
             self._log,
             self._counters,
         )
@@ -137,6 +161,48 @@
             random.Random(),
         )
 
+    async def _handle(
+        self, call: request.Request, caller: reply.Reply
+    ) -> None:
+        if self._refuses:
+            self._answerer.refuse(
+                caller, call.identity, 503, metrics.Counter.REFUSED_DRAINING
+            )
+            return
+        await self._front.handle(call, caller)
+
+    def _make_news(
+        self, sequence: int, peers: tuple[str, ...]
+    ) -> peer_news.PeerNews:
+        loads = {
+            member.identity: peer_news.EndpointLoad(
+                member.in_flight, member.pending_ms
+            )
+            for member in self._members.members.values()
+            if member.in_flight
+        }
+        return peer_news.PeerNews(
+            self._settings.name,
+            self._boot,
+            sequence,
+            self._settings.gossip_address,
+            self._is_draining,
+            loads,
+            self._rollouts.list_news(),
+            peers,
+            tuple(self._warm.take_waiting()),
+        )
+
+    def _take_news(self, news: peer_news.PeerNews | None) -> None:
+        """Take over the peers' loads and what they know of roll-outs."""
+        alive = self._gossip.alive
+        self._members.take_peer_loads([peer.news.loads for peer in alive])
+        if news is None:
+            return
+        self._warm.take_peer_notes(news.warm)
+        for one in news.rollouts:
+            self._rollouts.take_news(news.name, one)
+
     def _is_ready(self) -> bool:
         return (
             not self._is_draining
@@ -164,6 +230,7 @@
                 self._operator.run(),
                 self._entries.run(),
                 self._conduct(),
+                self._gossip.run(),
                 self._prune(),
             )
         ]
@@ -211,6 +278,7 @@
             await asyncio.sleep(PRUNE_SECONDS)
             self._members.refresh()
             self._pool.prune(self._members.addresses)
+            self._warm.prune(self._members.members)
 
     async def _shut_down(self, servers: list[httpserver.HTTPServer]) -> None:
         """Leave the rotation, let what runs end, stop."""
@@ -219,7 +287,10 @@
         self._server.is_closing = True
         self._log.write("draining", open=len(self._server.tasks))
         deadline = began + self._settings.bounds.grace_seconds * GRACE_SHARE
-        await asyncio.sleep(LEAVE_SECONDS)
+        await asyncio.sleep(ACCEPT_SECONDS)
+        # What comes now might not end before the process does.
+        self._refuses = True
+        await asyncio.sleep(LEAVE_SECONDS - ACCEPT_SECONDS)
         while self._server.tasks and time.monotonic() < deadline:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(deadline):
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -8,6 +8,7 @@
     event_log,
     follower,
     health,
+    peer_news,
     wire,
 )
 
@@ -103,6 +104,23 @@
         sure = [member for member in ready if not member.is_doubtful]
         return sure or ready
 
+    def take_peer_loads(
+        self,
+        loads: collections.abc.Sequence[dict[str, peer_news.EndpointLoad]],
+    ) -> None:
+        """Take the work that peers have under way, in place of before.
+
+        :param loads: each live peer's work by endpoint.
+        """
+        for member in self._members.values():
+            shares = [
+                table[member.identity]
+                for table in loads
+                if member.identity in table
+            ]
+            member.peer_in_flight = sum(one.in_flight for one in shares)
+            member.peer_pending_ms = sum(one.pending_ms for one in shares)
+
     def refresh(self) -> None:
         """Take over what changed in the entries since the last time."""
         self._drop_overdue()
@@ -174,9 +192,3 @@
         del self._members[identity]
         self._log.write("endpoint_gone", endpoint=identity, reason=reason)
 
-
-def by_identity(
-    members: collections.abc.Iterable[Member],
-) -> dict[str, Member]:
-    """Return members by their ids."""
-    return {member.identity: member for member in members}
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -11,7 +11,6 @@
     errors,
     health,
     job,
-    ladder,
     request,
     wire,
 )
@@ -107,6 +106,7 @@
         member: directory.Member,
         model: str,
         patience_seconds: float,
+        work_ms: float = 1.0,
         last_event: str | None = None,
     ) -> typing.AsyncIterator[Exchange]:
         """Send a request to an endpoint and wait for the head.
@@ -115,10 +115,10 @@
         end; else it is closed, which ends the work at the endpoint.
 
         :param patience_seconds: how long to wait for the head.
+        :param work_ms: the endpoint's estimated time until the answer begins.
         :param last_event: the id of the last event that the caller holds.
         :raises AttemptError: no usable answer began.
         """
-        work_ms = estimate_pending_ms(task, model)
         member.in_flight += 1
         member.pending_ms += work_ms
         link: endpoint_link.EndpointLink | None = None
@@ -168,6 +168,8 @@
         task.tried.add(member.identity)
         try:
             link.send(call.method, call.target, headers, call.body)
+            # Until the endpoint says otherwise; a deadline may come first.
+            task.in_doubt += 1
         except errors.NotSentError as error:
             raise AttemptError(
                 health.Fault.UNREACHABLE, False, str(error)
@@ -194,6 +196,9 @@
             raise AttemptError(
                 health.Fault.BROKEN, True, str(error)
             ) from error
+        if head.is_not_run:
+            task.in_doubt -= 1
+            return head
         if head.request_identity not in ("", task.call.identity):
             link.close()
             raise AttemptError(
@@ -206,13 +211,3 @@
             )
         return head
 
-
-def estimate_pending_ms(task: job.Job, model: str) -> float:
-    """Return the work before the first token, where nothing is cached.
-
-    :param model: the model that is asked; "" for a plain service.
-    """
-    if not model:
-        return 1.0
-    speed = ladder.speed_of(task.route, model)
-    return task.call.prompt_tokens * speed.prefill_ms
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -121,7 +121,6 @@
 
     def _repeats(self, task: job.Job, member: directory.Member) -> bool:
         """Return whether a failure of the endpoint's is tried elsewhere."""
-        task.may_have_run = True
         member.health.note_failure(health.Fault.ERROR)
         return (
             task.route.may_repeat
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -5,6 +5,7 @@
 
 from wagtailstream_router import (
     directory,
+    engine_time,
     event_log,
     event_stream,
     exchange,
@@ -15,6 +16,7 @@
     metrics,
     placement,
     rollout,
+    warm_prompts,
 )
 
 # How long a model server may stay silent before the request goes elsewhere:
@@ -112,6 +114,8 @@
     :param tries: decides on second tries.
     :param answerer: gives answers of our own.
     :param versions: which version a request may go to.
+    :param warm: which prompts the servers keep.
+    :param credits_: what answers earn.
     """
 
     def __init__(
@@ -121,6 +125,8 @@
         tries: forwarding.Tries,
         answerer: forwarding.Answerer,
         versions: rollout.Rollouts,
+        warm: warm_prompts.WarmPrompts,
+        credits_: ladder.Credits,
         log: event_log.EventLog,
         counters: metrics.Metrics,
     ) -> None:
@@ -129,6 +135,9 @@
         self._tries = tries
         self._answerer = answerer
         self._versions = versions
+        self._warm = warm
+        self._credits = credits_
+        self._sizes = ladder.SizeMeans()
         self._log = log
         self._counters = counters
 
@@ -149,8 +158,11 @@
         self._owner = owner
         self._task = task
         self._relay = Relay(task)
-        self._model = (
-            ladder.choose_first(task.route, task.call) or task.call.model
+        self._model = ladder.choose_first(task.route) or task.call.model
+        self._credit = ladder.credit_of(
+            owner._credits,
+            task.route.priority,
+            owner._sizes.relative(task.route.name, task.call),
         )
         self._climbs = True
         self._reason = metrics.Counter.REFUSED_NO_ENDPOINT
@@ -158,12 +170,13 @@
     async def run(self) -> None:
         task = self._task
         while True:
-            member = self._choose()
-            if member is None:
+            chosen = self._choose(self._model)
+            if chosen is None:
                 self._owner._answerer.give_up(task, self._reason)
                 return
+            member = chosen.member
             try:
-                if await self._attempt(member):
+                if await self._attempt(chosen):
                     return
             except exchange.AttemptError as error:
                 self._owner._tries.note_failure(task, member, error)
@@ -175,30 +188,25 @@
                     self._owner._answerer.give_up(task, self._reason)
                     return
 
-    def _choose(self) -> directory.Member | None:
+    def _choose(self, model: str) -> placement.Estimate | None:
         task = self._task
         ready = self._owner._versions.filter(
             task, self._owner._members.list_ready(task.service)
         )
         fresh = [one for one in ready if one.identity not in task.tried]
-        speed = ladder.speed_of(task.route, self._model)
-        shared = sum(part.tokens for part in task.call.parts[:-1])
-        work = placement.EngineWork(
-            f"{self._model}|{task.call.shared_part or task.call.identity}",
-            shared * speed.prefill_ms,
+        return placement.choose_engine(
+            fresh or ready, task.route, model, task.call, self._owner._warm
         )
-        return placement.choose_engine(fresh or ready, work)
 
-    def _patience(self, member: directory.Member) -> float:
+    def _patience(self, chosen: placement.Estimate) -> float:
         task = self._task
         left = forwarding.seconds_left(task)
         if not self._can_go_elsewhere():
             return left
-        known_ms = member.queue_ms + exchange.estimate_pending_ms(
-            task, self._model
-        )
         target = task.route.target_ms / 1000.0
-        patience = MIN_PATIENCE_SECONDS + PATIENCE_FACTOR * known_ms / 1000.0
+        patience = MIN_PATIENCE_SECONDS + (
+            PATIENCE_FACTOR * chosen.first_ms / 1000.0
+        )
         return min(left, max(target * MAX_TARGET_SHARE, patience))
 
     def _can_go_elsewhere(self) -> bool:
@@ -209,21 +217,24 @@
             and len(self._owner._members.list_ready(task.service)) > 1
         )
 
-    async def _attempt(self, member: directory.Member) -> bool:
+    async def _attempt(self, chosen: placement.Estimate) -> bool:
         """Return whether the request is done with.
 
         :raises exchange.AttemptError: it may go on elsewhere.
         """
         task = self._task
         owner = self._owner
+        member = chosen.member
         owner._tries.note_send(task)
+        owner._warm.note(member.identity, self._model, task.call)
         self._relay.begin_run()
         began = time.monotonic()
         async with owner._sender.open(
             task,
             member,
             self._model,
-            self._patience(member),
+            self._patience(chosen),
+            chosen.work_ms,
             self._relay.last_identity,
         ) as answer:
             head = answer.head
@@ -249,7 +260,6 @@
         task = self._task
         head = answer.head
         if head.status >= 500 and task.route.may_repeat:
-            task.may_have_run = True
             if self._owner._tries.may_send_extra(task):
                 raise exchange.AttemptError(
                     health.Fault.ERROR, True, f"status {head.status}"
@@ -278,10 +288,21 @@
         if not self._climbs:
             return False
         self._climbs = False
-        ready = self._owner._members.list_ready(task.service)
-        queue_ms = min((one.queue_ms for one in ready), default=0.0)
+        confidence = answer.head.confidence
+        if confidence is None or self._model not in task.route.sizes:
+            return False
+        queue_ms = self._mean_queue_ms()
+        target = task.call.arrived + task.route.target_ms / 1000.0
         larger = ladder.choose_next(
-            task.route, self._model, answer.head.confidence, queue_ms
+            ladder.Answered(
+                confidence,
+                self._credit,
+                (target - time.monotonic()) * 1000.0,
+                ladder.paid_tokens(task.call),
+                queue_ms,
+            ),
+            self._list_larger(),
+            self._owner._credits.late_share,
         )
         if larger is None:
             return False
@@ -295,12 +316,33 @@
             endpoint=answer.member.identity,
             model=self._model,
             larger=larger,
-            confidence=answer.head.confidence,
+            confidence=confidence,
             queue_ms=round(queue_ms, 1),
         )
         self._model = larger
         return True
 
+    def _mean_queue_ms(self) -> float:
+        ready = self._owner._members.list_ready(self._task.service)
+        return sum(one.queue_ms for one in ready) / max(1, len(ready))
+
+    def _list_larger(self) -> list[ladder.Candidate]:
+        task = self._task
+        place = task.route.sizes.index(self._model)
+        candidates = []
+        for model in task.route.sizes[place + 1 :]:
+            estimate = self._choose(model)
+            if estimate is not None:
+                candidates.append(
+                    ladder.Candidate(
+                        model,
+                        estimate.first_ms,
+                        estimate.work_ms,
+                        task.model_costs.get(model, 0.0),
+                    )
+                )
+        return candidates
+
     async def _relay_events(self, answer: exchange.Exchange) -> None:
         while True:
             try:
@@ -332,7 +374,7 @@
     ) -> None:
         task = self._task
         owner = self._owner
-        speed = ladder.speed_of(task.route, self._model)
+        speed = engine_time.speed_of(task.route, self._model)
         gap_ms = self._relay.usual_gap_seconds * 1000.0
         if gap_ms:
             member.health.note_success(gap_ms / speed.decode_ms)
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -1,6 +1,7 @@
 """What forwarding to plain services and to model servers share."""
 
 import asyncio
+import collections.abc
 import random
 import time
 
@@ -110,6 +111,7 @@
     """Decides whether a request may be sent once more.
 
     :param bounds: the fleet's retry budget.
+    :param count_processes: returns how many processes share it.
     :param log: takes each decision.
     :param counters: count each.
     """
@@ -117,6 +119,7 @@
     def __init__(
         self,
         bounds: retry_budget.BudgetBounds,
+        count_processes: collections.abc.Callable[[], int],
         log: event_log.EventLog,
         counters: metrics.Metrics,
     ) -> None:
@@ -124,7 +127,7 @@
         self._log = log
         self._counters = counters
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
-        self.process_count = 1
+        self._count_processes = count_processes
 
     def note_request(self, service: str) -> None:
         """Count a request for a service."""
@@ -137,8 +140,6 @@
         error: exchange.AttemptError,
     ) -> None:
         """Take a failed attempt into account."""
-        if error.may_have_run:
-            task.may_have_run = True
         is_paused = member.health.note_failure(error.fault)
         self._log.write(
             "attempt_failed",
@@ -173,7 +174,7 @@
             return True
         if task.sent >= task.route.max_attempts:
             return False
-        return self._budget_of(task.service).allows(self.process_count)
+        return self._budget_of(task.service).allows(self._count_processes())
 
     def note_send(self, task: job.Job) -> None:
         """Count a send that follows the first one."""
--- a/packages/wagtailstream-router/wagtailstream_router/front.py
+++ b/packages/wagtailstream-router/wagtailstream_router/front.py
@@ -92,14 +92,18 @@
                     configuration=value.version,
                 )
                 return None
+        service = self._choose_service(route)
+        known = value.services.get(service)
+        engine = known.engine if known is not None else None
         return job.Job(
             call,
             route,
-            self._choose_service(route),
+            service,
             tenant,
             _deadline_of(route, call),
             value.version,
             caller,
+            engine.model_costs if engine is not None else {},
         )
 
     def _choose_service(self, route: configuration.Route) -> str:
--- /dev/null
+++ b/packages/wagtailstream-router/wagtailstream_router/gossip.py
@@ -0,0 +1,143 @@
+"""Exchanges instances' states over datagrams."""
+
+import asyncio
+import collections.abc
+import dataclasses
+import time
+
+from wagtailstream_router import event_log, peer_news
+
+# Between messages: a queue of the engines lasts some hundred ms.
+INTERVAL_SECONDS = 0.2
+# A peer that is silent for longer is not counted as alive, nor its load.
+SILENCE_SECONDS = 1.5
+# A peer that is silent for longer still is forgotten; until then it counts
+# for shares of the fleet's budgets.
+FORGET_SECONDS = 20.0
+
+MakeNews = collections.abc.Callable[[int, tuple[str, ...]], peer_news.PeerNews]
+TakeNews = collections.abc.Callable[[peer_news.PeerNews | None], None]
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """An instance that was heard.
+
+    :param heard_at: when, by the monotonic clock.
+    """
+
+    news: peer_news.PeerNews
+    heard_at: float
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether it was heard lately."""
+        return time.monotonic() - self.heard_at < SILENCE_SECONDS
+
+
+class Gossip(asyncio.DatagramProtocol):
+    """Sends this instance's state to its peers, and keeps theirs.
+
+    :param address: where this instance takes messages.
+    :param seeds: where peers may be.
+    :param make_news: returns this instance's state.
+    :param take_news: takes each message, and None when a peer falls silent.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        seeds: collections.abc.Sequence[str],
+        make_news: MakeNews,
+        take_news: TakeNews,
+        log: event_log.EventLog,
+    ) -> None:
+        self._address = address
+        self._seeds = frozenset(seeds)
+        self._make_news = make_news
+        self._take_news = take_news
+        self._log = log
+        self._peers: dict[str, Peer] = {}
+        self._hints: set[str] = set()
+        self._lost: set[str] = set()
+        self._sequence = 0
+        self._transport: asyncio.DatagramTransport | None = None
+
+    @property
+    def alive(self) -> list[Peer]:
+        """The peers that were heard lately."""
+        return [peer for peer in self._peers.values() if peer.is_alive]
+
+    @property
+    def process_count(self) -> int:
+        """Instances that share the fleet's budgets, this one too."""
+        return 1 + len(self._peers)
+
+    async def run(self) -> None:
+        """Exchange messages until cancelled."""
+        loop = asyncio.get_running_loop()
+        host, _, port = self._address.rpartition(":")
+        self._transport, _ = await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(host, int(port))
+        )
+        try:
+            while True:
+                self.send()
+                await asyncio.sleep(INTERVAL_SECONDS)
+        finally:
+            self._transport.close()
+
+    def send(self) -> None:
+        """Send this instance's state to all peers now."""
+        if self._transport is None:
+            return
+        self._forget()
+        self._sequence += 1
+        targets = self._targets()
+        data = peer_news.encode(
+            self._make_news(self._sequence, tuple(sorted(targets)))
+        )
+        for target in targets:
+            host, _, port = target.rpartition(":")
+            self._transport.sendto(data, (host, int(port)))
+
+    def _targets(self) -> set[str]:
+        known = {peer.news.address for peer in self._peers.values()}
+        return (known | self._seeds | self._hints) - {self._address}
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Take a peer's message."""
+        try:
+            news = peer_news.decode(data)
+        except ValueError as error:
+            self._log.write_routine("peer_ignored", detail=str(error))
+            return
+        known = self._peers.get(news.name)
+        if known is not None and (news.boot, news.sequence) <= (
+            known.news.boot,
+            known.news.sequence,
+        ):
+            return
+        if known is None or news.name in self._lost:
+            self._lost.discard(news.name)
+            self._log.write("peer_heard", peer=news.name)
+        self._peers[news.name] = Peer(news, time.monotonic())
+        # Peers of peers are asked once; who answers is kept.
+        self._hints = set(news.peers) - self._targets()
+        self._take_news(news)
+
+    def error_received(self, exc: Exception) -> None:
+        """Take an error of an earlier message; the next one may pass."""
+        self._log.write_routine("peer_send_failed", detail=repr(exc))
+
+    def _forget(self) -> None:
+        now = time.monotonic()
+        for name, peer in list(self._peers.items()):
+            silent = now - peer.heard_at
+            if silent > SILENCE_SECONDS and name not in self._lost:
+                self._lost.add(name)
+                self._log.write("peer_lost", peer=name)
+                self._take_news(None)
+            if silent > FORGET_SECONDS:
+                del self._peers[name]
+                self._lost.discard(name)
--- a/packages/wagtailstream-router/wagtailstream_router/job.py
+++ b/packages/wagtailstream-router/wagtailstream_router/job.py
@@ -13,9 +13,10 @@
     :param tenant: who sent it; None where no keys are asked for.
     :param deadline: when its final answer is due, by the monotonic clock.
     :param configuration_version: the configuration that let it in.
+    :param model_costs: a model's price per 1,000 generated tokens.
     :param sent: how many endpoints it was sent to.
     :param tried: the ids of these endpoints.
-    :param may_have_run: whether one of them may have begun to work on it.
+    :param in_doubt: how many of them may have begun to work on it.
     """
 
     call: request.Request
@@ -25,9 +26,15 @@
     deadline: float
     configuration_version: int
     reply: reply.Reply
+    model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
     sent: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
-    may_have_run: bool = False
+    in_doubt: int = 0
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an endpoint may have begun to work on it."""
+        return self.in_doubt > 0
 
     @property
     def priority(self) -> int:
--- a/packages/wagtailstream-router/wagtailstream_router/node.py
+++ b/packages/wagtailstream-router/wagtailstream_router/node.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from wagtailstream_router import retry_budget
+from wagtailstream_router import ladder, retry_budget
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +44,7 @@
     :param metrics_address: where metrics are served; "" for nowhere.
     :param gossip_address: where peers send; "" for nowhere.
     :param seeds: addresses of peers' gossip.
+    :param credits_: what answers earn, for the choice of models.
     :param idle_seconds: how long a caller's idle connection is kept.
     """
 
@@ -55,5 +56,6 @@
     gossip_address: str
     seeds: tuple[str, ...]
     bounds: Bounds
+    credits_: ladder.Credits
     pace: Pace = Pace()
     idle_seconds: float = 60.0
--- /dev/null
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -0,0 +1,151 @@
+"""What instances tell each other, and its spelling in a datagram."""
+
+import dataclasses
+
+import orjson
+
+from wagtailstream_router import rollout_state
+
+# Fits one datagram without fragments on the sheets' links.
+MAX_BYTES = 8192
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndpointLoad:
+    """One instance's work at one endpoint.
+
+    :param in_flight: requests under way.
+    :param pending_ms: estimated work before first tokens.
+    """
+
+    in_flight: int
+    pending_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RolloutNews:
+    """What one instance knows of a roll-out.
+
+    :param evidence: its own answers by version.
+    """
+
+    status: rollout_state.Status
+    evidence: dict[str, rollout_state.Evidence]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerNews:
+    """One instance's state.
+
+    :param name: the instance's name.
+    :param boot: its start, by its own clock; orders its lives.
+    :param sequence: rises with each message of a life.
+    :param address: where it takes messages.
+    :param is_draining: whether it leaves.
+    :param loads: its work by endpoint.
+    :param rollouts: the roll-outs that it knows.
+    :param peers: addresses of instances that it hears.
+    :param warm: endpoints and marks of prompts that it sent there lately.
+    """
+
+    name: str
+    boot: int
+    sequence: int
+    address: str
+    is_draining: bool
+    loads: dict[str, EndpointLoad]
+    rollouts: tuple[RolloutNews, ...]
+    peers: tuple[str, ...]
+    warm: tuple[tuple[str, int], ...]
+
+
+def encode(news: PeerNews) -> bytes:
+    """Return a message's bytes."""
+    return orjson.dumps(
+        [
+            news.name,
+            news.boot,
+            news.sequence,
+            news.address,
+            news.is_draining,
+            {
+                identity: [load.in_flight, round(load.pending_ms)]
+                for identity, load in news.loads.items()
+            },
+            [_encode_rollout(one) for one in news.rollouts],
+            news.peers,
+            news.warm,
+        ]
+    )
+
+
+def _encode_rollout(news: RolloutNews) -> list[object]:
+    status = news.status
+    return [
+        status.service,
+        status.target,
+        status.stage.value,
+        status.order_offset,
+        status.started_ms,
+        {
+            version: [one.good, one.bad, round(one.gap_sum, 2), one.gap_count]
+            for version, one in news.evidence.items()
+        },
+    ]
+
+
+def decode(data: bytes) -> PeerNews:
+    """Return a message.
+
+    :raises ValueError: the bytes are none.
+    """
+    try:
+        (
+            name,
+            boot,
+            sequence,
+            address,
+            is_draining,
+            loads,
+            rollouts,
+            peers,
+            warm,
+        ) = orjson.loads(data)
+        return PeerNews(
+            str(name),
+            int(boot),
+            int(sequence),
+            str(address),
+            bool(is_draining),
+            {
+                str(identity): EndpointLoad(int(count), float(pending))
+                for identity, (count, pending) in loads.items()
+            },
+            tuple(map(_decode_rollout, rollouts)),
+            tuple(map(str, peers)),
+            tuple((str(one), int(mark)) for one, mark in warm),
+        )
+    except (TypeError, AttributeError, KeyError) as error:
+        raise ValueError(f"no message of a peer: {error!r}") from error
+
+
+def _decode_rollout(row: list[object]) -> RolloutNews:
+    service, target, stage, offset, started_ms, evidence = row
+    if not isinstance(evidence, dict):
+        raise TypeError("evidence is no table")
+    status = rollout_state.Status(
+        str(service),
+        str(target),
+        rollout_state.Stage(stage),
+        int(str(offset)),
+        int(str(started_ms)),
+    )
+    return RolloutNews(
+        status,
+        {
+            str(version): rollout_state.Evidence(
+                int(good), int(bad), float(gap_sum), int(gap_count)
+            )
+            for version, (good, bad, gap_sum, gap_count) in evidence.items()
+        },
+    )
--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -6,7 +6,14 @@
 
 import xxhash
 
-from wagtailstream_router import directory, health
+from wagtailstream_router import (
+    configuration,
+    directory,
+    engine_time,
+    health,
+    request,
+    warm_prompts,
+)
 
 # How much longer the queue of an endpoint in another zone has to be spared to
 # make up for the bytes between zones, as a factor on its score.
@@ -15,21 +22,25 @@
 FAILURE_FACTOR = 8.0
 # An endpoint this many times slower than its fellows is slow.
 SLOW_FACTOR = 2.5
-# A queue must be longer by this much, beside the time that reading the prompt
-# again takes, before a request leaves the endpoint that knows its prompt.
-MOVE_MARGIN_MS = 60.0
+# Spared for each place further down an endpoint's ranking for a prompt, so
+# that equal queues send equal prompts to the same endpoint.
+RANK_MS = 20.0
+# The queue of an endpoint that is slower than its fellows counts this much at
+# most.
+MAX_SLOWNESS = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class EngineWork:
-    """What a request asks of a model server.
+class Estimate:
+    """What a model server is expected to need for a request.
 
-    :param key: names the model and the last shared part of the prompt.
-    :param reread_ms: how long the shared parts take where they are unknown.
+    :param first_ms: until the first token, with all that is before it.
+    :param work_ms: for the request's prompt alone.
     """
 
-    key: str
-    reread_ms: float
+    member: directory.Member
+    first_ms: float
+    work_ms: float
 
 
 def choose_plain(
@@ -56,25 +67,56 @@
 
 def choose_engine(
     members: collections.abc.Sequence[directory.Member],
-    work: EngineWork,
-) -> directory.Member | None:
+    route: configuration.Route,
+    model: str,
+    call: request.Request,
+    warm: warm_prompts.WarmPrompts,
+) -> Estimate | None:
     """Return the model server that should give the first token soonest.
 
-    The server that the prompt's last shared part hashes to is taken, unless
-    its queue is longer than another's by more than reading the prompt anew.
+    Where queues are equal, prompts that share their beginning go to the same
+    server, which the hash of the last shared part ranks first.
 
     :param members: those that may be asked.
     """
     usable = _prefer_healthy(members)
     if not usable:
         return None
-    ranked = sorted(usable, key=lambda member: -_rank(member, work.key))
-    shortest = min(member.queue_ms for member in ranked)
-    bound = shortest + MOVE_MARGIN_MS + work.reread_ms
-    for member in ranked:
-        if member.queue_ms <= bound:
-            return member
-    return ranked[0]
+    key = f"{model}|{call.shared_part or call.identity}"
+    ranked = sorted(usable, key=lambda member: -_rank(member, key))
+    speed = engine_time.speed_of(route, model)
+    usual = _usual_duration(usable)
+    best: Estimate | None = None
+    best_score = float("inf")
+    for place, member in enumerate(ranked):
+        kept = warm.kept_tokens(member.identity, model, call)
+        work_ms = engine_time.prefill_ms(speed, call.prompt_tokens, kept)
+        work_ms *= _slowness(member, usual)
+        first_ms = member.queue_ms + work_ms
+        score = first_ms + RANK_MS * place
+        if score < best_score:
+            best = Estimate(member, first_ms, work_ms)
+            best_score = score
+    return best
+
+
+def _usual_duration(
+    members: collections.abc.Sequence[directory.Member],
+) -> float:
+    """Return the lower median of the durations; 0 before two are known."""
+    durations = sorted(
+        one.health.duration_ms for one in members if one.health.duration_ms
+    )
+    if len(durations) < 2:
+        return 0.0
+    return durations[(len(durations) - 1) // 2]
+
+
+def _slowness(member: directory.Member, usual: float) -> float:
+    if not usual or not member.health.duration_ms:
+        return 1.0
+    ratio = member.health.duration_ms / usual
+    return min(MAX_SLOWNESS, max(1.0, ratio))
 
 
 def _rank(member: directory.Member, key: str) -> int:
@@ -95,10 +137,8 @@
     awake = [one for one in members if not one.health.is_paused]
     sound = [one for one in awake if one.health.bad_share < health.BAD_SHARE]
     usable = sound or awake or list(members)
-    durations = sorted(
-        one.health.duration_ms for one in usable if one.health.duration_ms
-    )
-    if len(durations) < 2:
+    usual = _usual_duration(usable)
+    if not usual:
         return usable
-    bound = SLOW_FACTOR * durations[(len(durations) - 1) // 2]
+    bound = SLOW_FACTOR * usual
     return [one for one in usable if one.health.duration_ms <= bound]
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -8,10 +8,11 @@
 
 from wagtailstream_router import (
     directory,
+    engine_time,
     errors,
     event_log,
     job,
-    ladder,
+    peer_news,
     replica,
     rollout_state,
     store,
@@ -42,6 +43,17 @@
         dataclasses.field(default_factory=dict)
     )
 
+    @property
+    def status(self) -> rollout_state.Status:
+        """The roll-out's status, as written for the operator."""
+        return rollout_state.Status(
+            self.order.service,
+            self.order.target,
+            self.stage,
+            self.order_offset,
+            self.started_ms,
+        )
+
     @property
     def elapsed_share(self) -> float:
         """The part of the order's time that has passed."""
@@ -159,6 +171,24 @@
         ):
             self._end(known, status.stage, "told")
 
+    def take_news(self, peer: str, news: peer_news.RolloutNews) -> None:
+        """Take a peer's evidence and what it knows of a roll-out."""
+        self.refresh()
+        status = news.status
+        known = self._progress.get(status.service)
+        if known is None or known.order_offset != status.order_offset:
+            return
+        known.peer_answers[peer] = news.evidence
+        self.take_status(status)
+        self.judge(known)
+
+    def list_news(self) -> tuple[peer_news.RolloutNews, ...]:
+        """Return what this process knows of its roll-outs."""
+        return tuple(
+            peer_news.RolloutNews(progress.status, progress.answers)
+            for progress in self._progress.values()
+        )
+
     def filter(
         self,
         task: job.Job,
@@ -254,7 +284,7 @@
         else:
             evidence.bad += 1
         if gap_ms and task.route.sizes:
-            usual = ladder.speed_of(task.route, task.route.sizes[0])
+            usual = engine_time.speed_of(task.route, task.route.sizes[0])
             evidence.gap_sum += gap_ms / usual.decode_ms
             evidence.gap_count += 1
         self.judge(progress)
@@ -339,17 +369,9 @@
         if progress.is_written:
             return
         stage = progress.stage
-        status = rollout_state.Status(
-            progress.order.service,
-            progress.order.target,
-            stage,
-            progress.order_offset,
-            progress.started_ms,
-        )
+        value = self._codec.encode_status(progress.status)
         try:
-            await self._topic.append(
-                key, self._codec.encode_status(status), page.next_offset
-            )
+            await self._topic.append(key, value, page.next_offset)
         except errors.StoreConflictError:
             # Another process was first; the next step reads what it wrote.
             return
