--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -40,12 +40,6 @@
 CONDUCT_SECONDS = 0.25
 # Between sweeps of idle connections.
 PRUNE_SECONDS = 0.5
-# After SIGTERM, how long new connections may still come: two missed probes of
-# a second each, and a margin.
-LEAVE_SECONDS = 3.2
-# After SIGTERM, how long new requests are let in: the platform asks twice, a
-# second apart, before it sends connections elsewhere.
-ACCEPT_SECONDS = 2.5
 # Of the grace period, the part after which open requests are given up.
 GRACE_SHARE = 0.87
 # Longer heads than any limit of the configuration are not read at all.
@@ -80,12 +74,14 @@
             replica.Replica(),
             follower.Pace(pace.operator_wait_seconds, 0.0),
             log,
+            take_change=self._take_operator_change,
         )
         self._entries = follower.Follower(
             topics.endpoints,
             replica.Replica(),
             follower.Pace(0.0, pace.entries_pause_seconds),
             log,
+            take_change=lambda: self._members.refresh(),
         )
         self._current = current.Current(self._operator.copy, records, log)
         self._members = directory.Directory(self._entries, records, log)
@@ -110,7 +106,9 @@
             log,
             counters,
         )
-        self._probes = probe_server.ProbeServer(self._is_ready, counters)
+        self._probes = probe_server.ProbeServer(
+            lambda: self.is_ready, counters
+        )
         self._is_draining = False
         self._refuses = False
         self._boot = time.time_ns() // 1_000_000
@@ -122,6 +120,36 @@
             log,
         )
         self._stop = asyncio.Event()
+        self._started = asyncio.Event()
+        self._callers_port = 0
+
+    @property
+    def callers_port(self) -> int:
+        """The port that callers connect to, once it is open."""
+        return self._callers_port
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new connections are welcome."""
+        return (
+            not self._is_draining
+            and self._current.is_loaded
+            and self._entries.copy.is_loaded
+        )
+
+    @property
+    def configuration_version(self) -> int:
+        """The version of the configuration in force; 0 before the first."""
+        value = self._current.get()
+        return value.version if value is not None else 0
+
+    async def wait_started(self) -> None:
+        """Wait until callers can connect."""
+        await self._started.wait()
+
+    def stop(self) -> None:
+        """Begin to shut down, as SIGTERM does."""
+        self._stop.set()
 
     def _make_front(self, headers: wire.HeaderCodec) -> front.Front:
         answerer = self._answerer
@@ -203,18 +231,11 @@
         for one in news.rollouts:
             self._rollouts.take_news(news.name, one)
 
-    def _is_ready(self) -> bool:
-        return (
-            not self._is_draining
-            and self._current.is_loaded
-            and self._entries.copy.is_loaded
-        )
-
     async def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(signal_number, self._stop.set)
+            loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
         servers = [
             self._listen(self._server, self._settings.callers_address),
@@ -234,6 +255,7 @@
                 self._prune(),
             )
         ]
+        self._started.set()
         self._log.write("started", zone=self._settings.zone)
         await self._stop.wait()
         await self._shut_down(servers)
@@ -258,8 +280,14 @@
             idle_connection_timeout=self._settings.idle_seconds,
         )
         server.add_sockets(sockets)
+        if delegate is self._server:
+            self._callers_port = sockets[0].getsockname()[1]
         return server
 
+    def _take_operator_change(self) -> None:
+        self._current.get()
+        self._rollouts.refresh()
+
     def _note_hangup(self) -> None:
         self._log.write("reloaded", cause="SIGHUP")
 
@@ -287,10 +315,11 @@
         self._server.is_closing = True
         self._log.write("draining", open=len(self._server.tasks))
         deadline = began + self._settings.bounds.grace_seconds * GRACE_SHARE
-        await asyncio.sleep(ACCEPT_SECONDS)
+        leaving = self._settings.leaving
+        await asyncio.sleep(leaving.accept_seconds)
         # What comes now might not end before the process does.
         self._refuses = True
-        await asyncio.sleep(LEAVE_SECONDS - ACCEPT_SECONDS)
+        await asyncio.sleep(leaving.leave_seconds - leaving.accept_seconds)
         while self._server.tasks and time.monotonic() < deadline:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout_at(deadline):
--- a/packages/wagtailstream-router/wagtailstream_router/follower.py
+++ b/packages/wagtailstream-router/wagtailstream_router/follower.py
@@ -31,6 +31,7 @@
     :param copy: the replica to keep current.
     :param pace: how often to read.
     :param log: takes what the process comes to believe.
+    :param take_change: is called when records have changed.
     :param is_covered: whether a peer reads the topic for this process.
     """
 
@@ -41,15 +42,17 @@
         pace: Pace,
         log: event_log.EventLog,
         is_covered: collections.abc.Callable[[], bool] = lambda: False,
+        take_change: collections.abc.Callable[[], object] = lambda: None,
     ) -> None:
         self._topic = topic
         self._copy = copy
         self._pace = pace
         self._log = log
         self._is_covered = is_covered
+        self._take_change = take_change
         self._lost_at: float | None = None
         self._regained_at = float("-inf")
-        self._changed = asyncio.Event()
+        self._told_change = 0
 
     @property
     def copy(self) -> replica.Replica:
@@ -79,6 +82,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
             else:
                 self._note_regained()
+                self._tell_change()
                 await asyncio.sleep(self._pace.pause_seconds)
 
     async def read_once(self) -> None:
@@ -104,6 +108,11 @@
         # A held read vouches for the copy up to its answer.
         self._copy.extend(page, began)
 
+    def _tell_change(self) -> None:
+        if self._copy.change != self._told_change:
+            self._told_change = self._copy.change
+            self._take_change()
+
     def _note_lost(self, error: errors.StoreError) -> None:
         if self._lost_at is None:
             self._lost_at = time.monotonic()
--- a/packages/wagtailstream-router/wagtailstream_router/node.py
+++ b/packages/wagtailstream-router/wagtailstream_router/node.py
@@ -35,6 +35,19 @@
     entries_pause_seconds: float = 0.7
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving:
+    """How an instance leaves after SIGTERM.
+
+    :param accept_seconds: how long new requests are let in: the platform asks
+        twice, a second apart, before it sends connections elsewhere.
+    :param leave_seconds: how long connections may still come.
+    """
+
+    accept_seconds: float = 2.5
+    leave_seconds: float = 3.2
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """One instance's settings.
@@ -58,4 +71,5 @@
     bounds: Bounds
     credits_: ladder.Credits
     pace: Pace = Pace()
+    leaving: Leaving = Leaving()
     idle_seconds: float = 60.0
--- a/packages/wagtailstream-router/wagtailstream_router/store.py
+++ b/packages/wagtailstream-router/wagtailstream_router/store.py
@@ -1,9 +1,13 @@
 """The platform's store: topics of records, some of them keyed."""
 
 import abc
+import asyncio
 import collections.abc
+import contextlib
 import dataclasses
 
+from wagtailstream_router import errors
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Record:
@@ -74,3 +78,77 @@
     endpoints: Topic
     status: Topic
     close: collections.abc.Callable[[], None] = lambda: None
+
+
+class MemoryTopic(Topic):
+    """A topic in this process; for tests and single processes.
+
+    :param name: the topic's name.
+    """
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+        self._records: list[Record] = []
+        self._newest: dict[str, Record] = {}
+        self._first = 0
+        self._appended = asyncio.Event()
+        self.fault: errors.StoreError | None = None
+
+    @property
+    def name(self) -> str:
+        """The topic's name."""
+        return self._name
+
+    def put(self, key: str, value: bytes | None) -> None:
+        """Append a record, or a removal where the value is None."""
+        offset = self._first + len(self._records)
+        self._records.append(Record(key, value, offset))
+        self._appended.set()
+        self._appended = asyncio.Event()
+
+    def compact(self) -> None:
+        """Forget the history; the newest record of each key stays."""
+        self._newest = {one.key: one for one in self._list_newest()}
+        self._first += len(self._records)
+        self._records = []
+
+    async def read_newest(self) -> Page:
+        """Return the newest record of each key."""
+        self._check()
+        end = self._first + len(self._records)
+        return Page(tuple(self._list_newest()), end)
+
+    async def read_from(self, offset: int, wait_seconds: float) -> Page:
+        """Return the records from an offset on."""
+        self._check()
+        if offset < self._first:
+            raise errors.StoreCompactedError("read", self._name, str(offset))
+        place = offset - self._first
+        if place >= len(self._records) and wait_seconds:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(wait_seconds):
+                    await self._appended.wait()
+            self._check()
+        if offset < self._first:
+            raise errors.StoreCompactedError("read", self._name, str(offset))
+        records = tuple(self._records[offset - self._first :])
+        return Page(records, offset + len(records))
+
+    async def append(self, key: str, value: bytes, expected_end: int) -> int:
+        """Append a record if the topic ends at an offset."""
+        self._check()
+        end = self._first + len(self._records)
+        if end != expected_end:
+            raise errors.StoreConflictError("append", self._name, str(end))
+        self.put(key, value)
+        return end + 1
+
+    def _check(self) -> None:
+        if self.fault is not None:
+            raise self.fault
+
+    def _list_newest(self) -> list[Record]:
+        newest = dict(self._newest)
+        for record in self._records:
+            newest[record.key] = record
+        return [one for one in newest.values() if one.value is not None]
--- /dev/null
+++ b/standins/platform_caller.py
@@ -0,0 +1,106 @@
+"""A caller of the users' platform: one request on a connection of its own."""
+
+import asyncio
+import dataclasses
+
+import h11
+
+READ_BYTES = 65536
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """What a caller got.
+
+    :param status: 0 if the connection closed without an answer.
+    :param is_complete: whether the answer came to its end.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_complete: bool
+
+
+class CallerConnection:
+    """A caller's connection, kept for several requests."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._framing = h11.Connection(h11.CLIENT)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+    ) -> Reply:
+        """Send a request and return its answer."""
+        fields = list(headers)
+        if body or method == "POST":
+            fields.append(("Content-Length", str(len(body))))
+        head = h11.Request(method=method, target=target, headers=fields)
+        self._writer.write(self._framing.send(head) or b"")
+        if body:
+            self._writer.write(self._framing.send(h11.Data(data=body)) or b"")
+        self._writer.write(self._framing.send(h11.EndOfMessage()) or b"")
+        return await self._read_reply()
+
+    async def _read_reply(self) -> Reply:
+        status = 0
+        headers: dict[str, str] = {}
+        body = b""
+        while True:
+            try:
+                event = self._framing.next_event()
+                if event is h11.NEED_DATA:
+                    data = await self._reader.read(READ_BYTES)
+                    self._framing.receive_data(data)
+                    continue
+            except (h11.RemoteProtocolError, OSError):
+                return Reply(status, headers, body, False)
+            if isinstance(event, h11.Response):
+                status = event.status_code
+                headers = {
+                    name.decode().lower(): value.decode()
+                    for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                if self._framing.our_state is h11.DONE and (
+                    self._framing.their_state is h11.DONE
+                ):
+                    self._framing.start_next_cycle()
+                return Reply(status, headers, body, True)
+            else:
+                return Reply(status, headers, body, False)
+
+    def close(self) -> None:
+        """Leave."""
+        self._writer.close()
+
+
+async def connect(port: int) -> CallerConnection:
+    """Open a connection to a router on loopback."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    return CallerConnection(reader, writer)
+
+
+async def call(
+    port: int,
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes = b"",
+) -> Reply:
+    """Send one request and return its answer."""
+    connection = await connect(port)
+    try:
+        return await connection.call(method, target, headers, body)
+    finally:
+        connection.close()
--- /dev/null
+++ b/standins/platform_endpoint.py
@@ -0,0 +1,262 @@
+"""An endpoint of the users' platform that answers as it is told."""
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import enum
+
+import h11
+
+from wagtailstream_adapter import names
+
+READ_BYTES = 65536
+_SIGNATURE = "3e1b.07.5a2"
+
+
+class Framing(enum.Enum):
+    """How an answer's end is told."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class End(enum.Enum):
+    """What comes after the pieces of an answer."""
+
+    WHOLE = "whole"
+    CUT = "cut"
+    SILENT = "silent"
+    EXTRA = "extra"
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """How one request is answered.
+
+    :param pieces: the body, written one after the other.
+    :param end: what follows them.
+    :param echo: the id that is echoed; None for the request's own.
+    :param answers: False to close the connection without an answer.
+    :param gate: is awaited before the answer.
+    """
+
+    status: int = 200
+    pieces: tuple[bytes, ...] = (b"whole answer",)
+    headers: tuple[tuple[str, str], ...] = ()
+    framing: Framing = Framing.LENGTH
+    end: End = End.WHOLE
+    is_signed: bool = True
+    is_not_run: bool = False
+    echo: str | None = None
+    answers: bool = True
+    gate: asyncio.Event | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """A request that reached the endpoint."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+class PlatformEndpoint:
+    """Accepts requests on a port of loopback, and keeps them.
+
+    :param identity: its id; other expected ids are answered 421.
+    """
+
+    def __init__(self, identity: str) -> None:
+        self.identity = identity
+        self.plans: list[Plan] = []
+        self.default = Plan()
+        self.arrivals: list[Arrival] = []
+        self.connections = 0
+        self.left = asyncio.Event()
+        self.arrived = asyncio.Event()
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.address = ""
+
+    @property
+    def runs(self) -> int:
+        """How many requests it began to work on."""
+        return len(self.arrivals)
+
+    async def start(self) -> None:
+        """Listen on a port that the system picks."""
+        self._server = await asyncio.start_server(
+            self._accept, "127.0.0.1", 0
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop, and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        if task is not None:
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self.connections += 1
+        try:
+            await self._serve(reader, writer)
+        except (OSError, h11.RemoteProtocolError, asyncio.CancelledError):
+            # The router closed, or the test ended: both are the end here.
+            writer.transport.abort()
+        finally:
+            self.left.set()
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        framing = h11.Connection(h11.SERVER)
+        while True:
+            arrival = await _read_request(framing, reader)
+            if arrival is None:
+                return
+            if not await self._answer(arrival, framing, reader, writer):
+                return
+            framing.start_next_cycle()
+
+    async def _answer(
+        self,
+        arrival: Arrival,
+        framing: h11.Connection,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> bool:
+        """Return whether the connection stays open."""
+        expected = arrival.headers.get(names.EXPECTED_INSTANCE.lower())
+        if expected not in (None, self.identity):
+            plan = Plan(421, (b"another",), is_signed=False)
+        else:
+            plan = self.plans.pop(0) if self.plans else self.default
+            if not plan.is_not_run:
+                self.arrivals.append(arrival)
+            self.arrived.set()
+        if plan.gate is not None and not await _wait(plan.gate, reader):
+            return False
+        if not plan.answers:
+            writer.transport.abort()
+            return False
+        return await _write(plan, arrival, framing, reader, writer)
+
+
+async def _wait(gate: asyncio.Event, reader: asyncio.StreamReader) -> bool:
+    """Wait for a gate; return False if the caller leaves before."""
+    leaving = asyncio.ensure_future(reader.read(1))
+    opening = asyncio.ensure_future(gate.wait())
+    try:
+        await asyncio.wait(
+            (leaving, opening), return_when=asyncio.FIRST_COMPLETED
+        )
+        return not leaving.done()
+    finally:
+        for task in (leaving, opening):
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(leaving, opening, return_exceptions=True)
+
+
+async def _read_request(
+    framing: h11.Connection, reader: asyncio.StreamReader
+) -> Arrival | None:
+    head: h11.Request | None = None
+    body = b""
+    while True:
+        event = framing.next_event()
+        if event is h11.NEED_DATA:
+            framing.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            head = event
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+        elif isinstance(event, h11.EndOfMessage) and head is not None:
+            fields = {
+                name.decode().lower(): value.decode()
+                for name, value in head.headers
+            }
+            return Arrival(
+                head.method.decode(), head.target.decode(), fields, body
+            )
+        else:
+            return None
+
+
+def _make_headers(
+    plan: Plan, arrival: Arrival
+) -> list[tuple[str, str]]:
+    echo = plan.echo
+    if echo is None:
+        echo = arrival.headers.get(names.REQUEST_ID.lower(), "")
+    headers = [(names.REQUEST_ID, echo), *plan.headers]
+    if plan.is_signed:
+        headers.append((names.SIGNATURE, _SIGNATURE))
+    if plan.is_not_run:
+        headers.append((names.NOT_RUN, "1"))
+    if plan.framing is Framing.LENGTH:
+        length = sum(map(len, plan.pieces))
+        if plan.end is not End.WHOLE and plan.end is not End.EXTRA:
+            # The rest is announced and never comes.
+            length += 1
+        headers.append(("Content-Length", str(length)))
+    elif plan.framing is Framing.CHUNKED:
+        headers.append(("Transfer-Encoding", "chunked"))
+    else:
+        headers.append(("Connection", "close"))
+    return headers
+
+
+async def _write(
+    plan: Plan,
+    arrival: Arrival,
+    framing: h11.Connection,
+    reader: asyncio.StreamReader,
+    writer: asyncio.StreamWriter,
+) -> bool:
+    """Write an answer; return whether the connection stays open."""
+    head = h11.Response(
+        status_code=plan.status, headers=_make_headers(plan, arrival)
+    )
+    writer.write(framing.send(head) or b"")
+    for piece in plan.pieces:
+        writer.write(framing.send(h11.Data(data=piece)) or b"")
+        await writer.drain()
+    if plan.end is End.CUT:
+        writer.transport.abort()
+        return False
+    if plan.end is End.SILENT:
+        await reader.read(1)
+        return False
+    writer.write(framing.send(h11.EndOfMessage()) or b"")
+    if plan.end is End.EXTRA:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+    await writer.drain()
+    return plan.framing is not Framing.CLOSE
+
+
+def make_event(number: int, text: str = "token") -> bytes:
+    """Return an event of a stream.
+
+    :param number: its id.
+    """
+    return f"id: {number}\ndata: {text} {number}\n\n".encode()
+
+
+def make_events(numbers: collections.abc.Iterable[int]) -> tuple[bytes, ...]:
+    """Return events with some ids."""
+    return tuple(map(make_event, numbers))
--- /dev/null
+++ b/tests/router/test_forward_stream.py
@@ -0,0 +1,152 @@
+"""Streams: event by event, resumed at a whole event, never spliced."""
+
+import asyncio
+
+from standins import platform_endpoint
+from tests.router import support
+from wagtailstream_adapter import names
+
+CHUNKED = platform_endpoint.Framing.CHUNKED
+CONFIDENT = ((names.CONFIDENCE, "95"),)
+DOUBTFUL = ((names.CONFIDENCE, "3"),)
+
+
+def make_plan(
+    first: int,
+    last: int,
+    end: platform_endpoint.End = platform_endpoint.End.WHOLE,
+    tail: bytes = b"",
+    headers: tuple[tuple[str, str], ...] = CONFIDENT,
+) -> platform_endpoint.Plan:
+    """Return a stream of events with the ids from first to last."""
+    pieces = platform_endpoint.make_events(range(first, last + 1))
+    if tail:
+        pieces = (*pieces, tail)
+    return platform_endpoint.Plan(
+        pieces=pieces, framing=CHUNKED, end=end, headers=headers
+    )
+
+
+async def call_stream(
+    fleet: support.Fleet, identity: str = "request-1", **fields: str
+) -> "support.platform_caller.Reply":
+    return await fleet.call(
+        "POST",
+        support.STREAM_PATH,
+        b"prompt",
+        identity=identity,
+        **support.make_stream_fields(),
+        **fields,
+    )
+
+
+async def test_a_confident_answer_of_the_smallest_model_is_passed_on(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.default = make_plan(1, 5)
+    await fleet.start()
+    reply = await call_stream(fleet)
+    assert reply.is_complete
+    assert reply.body == b"".join(platform_endpoint.make_events(range(1, 6)))
+    assert endpoint.arrivals[0].headers["x-model"] == "small"
+    assert endpoint.arrivals[0].headers["x-request-priority"] == "2"
+
+
+async def test_a_doubtful_answer_is_asked_of_the_largest_model(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.plans = [make_plan(1, 5, headers=DOUBTFUL), make_plan(1, 7)]
+    await fleet.start()
+    reply = await call_stream(fleet)
+    models = [one.headers["x-model"] for one in endpoint.arrivals]
+    assert models == ["small", "large"]
+    assert reply.body == b"".join(platform_endpoint.make_events(range(1, 8)))
+
+
+async def test_a_cut_stream_goes_on_at_the_last_whole_event(
+    fleet: support.Fleet,
+) -> None:
+    first = await fleet.add_endpoint("engine-1", "engine")
+    second = await fleet.add_endpoint("engine-2", "engine")
+    cut = make_plan(1, 3, platform_endpoint.End.CUT, b"id: 4\ndata: to")
+    first.plans = second.plans = [cut]
+    first.default = second.default = make_plan(4, 6)
+    await fleet.start()
+    reply = await call_stream(fleet)
+    assert reply.is_complete
+    assert reply.body == b"".join(platform_endpoint.make_events(range(1, 7)))
+    arrivals = first.arrivals + second.arrivals
+    assert sorted(
+        one.headers.get("last-event-id", "") for one in arrivals
+    ) == ["", "3"]
+
+
+async def test_a_silent_stream_goes_on_elsewhere(fleet: support.Fleet) -> None:
+    first = await fleet.add_endpoint("engine-1", "engine")
+    second = await fleet.add_endpoint("engine-2", "engine")
+    silent = make_plan(1, 2, platform_endpoint.End.SILENT)
+    first.plans = second.plans = [silent]
+    first.default = second.default = make_plan(3, 4)
+    await fleet.start()
+    reply = await call_stream(fleet)
+    assert reply.body == b"".join(platform_endpoint.make_events(range(1, 5)))
+    await asyncio.wait(
+        [asyncio.ensure_future(one.left.wait()) for one in (first, second)],
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+
+
+async def test_a_stream_that_can_not_go_on_does_not_look_complete(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.default = make_plan(1, 2, platform_endpoint.End.CUT)
+    table = support.make_configuration(2)
+    routes = table["routes"]
+    assert isinstance(routes, list)
+    routes[2]["streamResumption"] = False
+    fleet.platform.put_configuration(table)
+    await fleet.start()
+    reply = await call_stream(fleet)
+    assert not reply.is_complete
+    assert reply.body == b"".join(platform_endpoint.make_events(range(1, 3)))
+    assert endpoint.runs == 1
+
+
+async def test_a_stream_that_ends_within_an_event_is_not_whole(
+    fleet: support.Fleet,
+) -> None:
+    first = await fleet.add_endpoint("engine-1", "engine")
+    torn = make_plan(1, 2, tail=b"id: 3\ndata: to")
+    first.plans = [torn]
+    first.default = make_plan(3, 3)
+    await fleet.start()
+    reply = await call_stream(fleet)
+    assert reply.is_complete
+    assert reply.body == b"".join(platform_endpoint.make_events(range(1, 4)))
+
+
+async def test_a_callers_own_resumption_is_passed_on(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.default = make_plan(8, 9)
+    await fleet.start()
+    reply = await call_stream(fleet, Last_Event_Id="7")
+    assert endpoint.arrivals[0].headers["last-event-id"] == "7"
+    assert reply.body == b"".join(platform_endpoint.make_events((8, 9)))
+
+
+async def test_the_budget_bounds_second_sends() -> None:
+    fleet = support.Fleet(bounds_slack=0.0)
+    fleet.platform.put_configuration(support.make_configuration())
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.default = make_plan(1, 2, headers=DOUBTFUL)
+    await fleet.start()
+    for number in range(10):
+        await call_stream(fleet, identity=f"request-{number}")
+    await fleet.close()
+    # Nine tenths of ten requests, of which the fleet plans to use less.
+    assert 10 < endpoint.runs <= 10 + 9
