Estimate what is left of the engines' queues; move prompts, not sessions

Cause: a queued prompt counted with its whole work until its first token, so answers of low confidence were kept for queues that were nearly empty; on a roll-out all caches went cold at once; a short queue drew a prompt from the server that knew it.

Ruled out: wrong speeds of the models (alone, a first token comes at 1.06 to 1.1 times its estimate).

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -204,7 +204,7 @@
     ) -> peer_news.PeerNews:
         loads = {
             member.identity: peer_news.EndpointLoad(
-                member.in_flight, member.pending_ms
+                member.in_flight, member.pending.remaining_ms
             )
             for member in self._members.members.values()
             if member.in_flight
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -17,6 +17,37 @@
 LAPSE_GRACE_SECONDS = 2.0
 
 
+class PendingWork:
+    """Prompts that an endpoint reads one after the other."""
+
+    def __init__(self) -> None:
+        self._items: dict[int, tuple[float, float]] = {}
+        self._next = 0
+
+    @property
+    def remaining_ms(self) -> float:
+        """The work that is left, by its estimates and the time since."""
+        if not self._items:
+            return 0.0
+        total = sum(work for _, work in self._items.values())
+        sent, work = next(iter(self._items.values()))
+        done = (time.monotonic() - sent) * 1000.0
+        return total - min(done, work)
+
+    def add(self, work_ms: float) -> int:
+        """Add a prompt; return what removes it.
+
+        :param work_ms: the estimated time to read it.
+        """
+        self._next += 1
+        self._items[self._next] = (time.monotonic(), work_ms)
+        return self._next
+
+    def remove(self, ticket: int) -> None:
+        """Remove a prompt that is read or given up."""
+        self._items.pop(ticket, None)
+
+
 class Member:
     """One endpoint, and what this process knows of it.
 
@@ -27,7 +58,7 @@
         self.entry = entry
         self.health = health.Health()
         self.in_flight = 0
-        self.pending_ms = 0.0
+        self.pending = PendingWork()
         self.peer_in_flight = 0
         self.peer_pending_ms = 0.0
         self.doubtful_until: float | None = None
@@ -50,7 +81,7 @@
     @property
     def queue_ms(self) -> float:
         """Work that waits there, of this process and its peers."""
-        return self.pending_ms + self.peer_pending_ms
+        return self.pending.remaining_ms + self.peer_pending_ms
 
 
 class Directory:
--- a/packages/wagtailstream-router/wagtailstream_router/engine_time.py
+++ b/packages/wagtailstream-router/wagtailstream_router/engine_time.py
@@ -22,6 +22,8 @@
 # The sheets' 63.9 prompt tokens a ms and 3.7 ms a step; the time of pairs is
 # fitted to first tokens of long prompts.
 _BASE = ModelSpeed(1.0 / 63.9, 0.367, 3.7)
+# Beside the tokens, until a first token: a step that is under way.
+FIXED_MS = 8.0
 # Times of the models of a route against the base, smallest first, as first
 # tokens and pauses showed them.
 _PACES = (0.3, 0.8, 3.0)
@@ -51,4 +53,4 @@
     """
     fresh = max(0, total_tokens - kept)
     pairs = fresh * (kept + fresh / 2.0) / 1e6
-    return fresh * speed.prefill_ms + pairs * speed.pairs_ms
+    return FIXED_MS + fresh * speed.prefill_ms + pairs * speed.pairs_ms
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -120,18 +120,17 @@
         :raises AttemptError: no usable answer began.
         """
         member.in_flight += 1
-        member.pending_ms += work_ms
+        ticket = member.pending.add(work_ms)
         link: endpoint_link.EndpointLink | None = None
         try:
             link = await self._connect(member)
             self._send(task, member, model, link, last_event)
             head = await self._read_head(task, link, patience_seconds)
-            member.pending_ms -= work_ms
-            work_ms = 0.0
+            member.pending.remove(ticket)
             yield Exchange(member, model, link, head)
         finally:
             member.in_flight -= 1
-            member.pending_ms -= work_ms
+            member.pending.remove(ticket)
             if link is not None:
                 self._pool.give_back(link)
 
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -252,7 +252,7 @@
                 return False
             await self._relay_events(answer)
         seconds = (self._relay.first_at or time.monotonic()) - began
-        self._note_end(member, seconds)
+        self._note_end(chosen, seconds)
         return True
 
     async def _take_failure(self, answer: exchange.Exchange) -> bool:
@@ -293,34 +293,46 @@
             return False
         queue_ms = self._mean_queue_ms()
         target = task.call.arrived + task.route.target_ms / 1000.0
+        candidates = self._list_larger()
+        answered = ladder.Answered(
+            confidence,
+            self._credit,
+            (target - time.monotonic()) * 1000.0,
+            ladder.paid_tokens(task.call),
+            queue_ms,
+        )
         larger = ladder.choose_next(
-            ladder.Answered(
-                confidence,
-                self._credit,
-                (target - time.monotonic()) * 1000.0,
-                ladder.paid_tokens(task.call),
-                queue_ms,
-            ),
-            self._list_larger(),
-            self._owner._credits.late_share,
+            answered, candidates, self._owner._credits.late_share
         )
+        self._log_choice(answer, answered, candidates, larger)
         if larger is None:
             return False
         if not self._owner._tries.may_send_extra(task):
             self._owner._counters.count(metrics.Counter.CLIMB_DENIED)
             return False
         self._owner._counters.count(metrics.Counter.CLIMBED)
+        self._model = larger
+        return True
+
+    def _log_choice(
+        self,
+        answer: exchange.Exchange,
+        answered: ladder.Answered,
+        candidates: list[ladder.Candidate],
+        larger: str | None,
+    ) -> None:
         self._owner._log.write_routine(
-            "climbed",
-            request=task.call.identity,
+            "model_kept" if larger is None else "model_climbed",
+            request=self._task.call.identity,
             endpoint=answer.member.identity,
             model=self._model,
             larger=larger,
-            confidence=confidence,
-            queue_ms=round(queue_ms, 1),
+            confidence=answered.confidence,
+            credit=round(answered.credit, 2),
+            left_ms=round(answered.left_ms),
+            queue_ms=round(answered.queue_ms),
+            first_ms=[round(one.first_ms) for one in candidates],
         )
-        self._model = larger
-        return True
 
     def _mean_queue_ms(self) -> float:
         ready = self._owner._members.list_ready(self._task.service)
@@ -370,8 +382,9 @@
         return gap * STALL_SHARE
 
     def _note_end(
-        self, member: directory.Member, first_seconds: float
+        self, chosen: placement.Estimate, first_seconds: float
     ) -> None:
+        member = chosen.member
         task = self._task
         owner = self._owner
         speed = engine_time.speed_of(task.route, self._model)
@@ -397,6 +410,8 @@
             model=self._model,
             sent=task.sent,
             first_ms=round(first_seconds * 1000.0, 1),
+            expected_ms=round(chosen.first_ms, 1),
+            work_ms=round(chosen.work_ms, 1),
             ms=round((now - task.call.arrived) * 1000.0, 1),
             configuration=task.configuration_version,
         )
--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -25,6 +25,9 @@
 # Spared for each place further down an endpoint's ranking for a prompt, so
 # that equal queues send equal prompts to the same endpoint.
 RANK_MS = 20.0
+# Added for each token of a shared part that would be read again: the price of
+# reading it, and of the memory that a second copy takes from others.
+REREAD_MS_PER_TOKEN = 0.015
 # The queue of an endpoint that is slower than its fellows counts this much at
 # most.
 MAX_SLOWNESS = 6.0
@@ -85,6 +88,7 @@
     key = f"{model}|{call.shared_part or call.identity}"
     ranked = sorted(usable, key=lambda member: -_rank(member, key))
     speed = engine_time.speed_of(route, model)
+    shared = call.prompt_tokens - call.own_tokens
     usual = _usual_duration(usable)
     best: Estimate | None = None
     best_score = float("inf")
@@ -93,7 +97,8 @@
         work_ms = engine_time.prefill_ms(speed, call.prompt_tokens, kept)
         work_ms *= _slowness(member, usual)
         first_ms = member.queue_ms + work_ms
-        score = first_ms + RANK_MS * place
+        unknown = max(0, shared - kept)
+        score = first_ms + RANK_MS * place + REREAD_MS_PER_TOKEN * unknown
         if score < best_score:
             best = Estimate(member, first_ms, work_ms)
             best_score = score
--- a/packages/wagtailstream-router/wagtailstream_router/request.py
+++ b/packages/wagtailstream-router/wagtailstream_router/request.py
@@ -53,6 +53,11 @@
     model: str
     session: str
 
+    @property
+    def own_tokens(self) -> int:
+        """The length of the last part, which no other request has."""
+        return self.parts[-1].tokens if self.parts else self.prompt_tokens
+
     @property
     def shared_part(self) -> str:
         """The last part that other requests may share; "" if none."""
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -249,9 +249,12 @@
         pinned = self._pins.find(task.call.session)
         if pinned == target or exposure >= 1.0:
             return target
-        if pinned and progress.elapsed_share < 0.5:
-            return pinned if pinned != target else target
-        name = task.call.session or task.call.identity
+        if pinned and progress.elapsed_share < rollout_state.RAMP_START:
+            return old
+        # Prompts that share their beginning move together, so that each is
+        # read anew once.
+        name = task.call.shared_part or task.call.session
+        name = name or task.call.identity
         place = xxhash.xxh32_intdigest(f"{target}|{name}".encode()) / 2**32
         return target if place < exposure else old
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -87,14 +87,16 @@
 # Streams, and slowness against the old version, from which it is too slow.
 MIN_SLOW_STREAMS = 6
 SLOW_FACTOR = 2.2
-# Shares of the order's time at which the exposure rises; sessions that began
-# on the old version may move in the second half only.
-RAMP = ((0.5, 0.3), (0.58, 0.6), (0.66, 1.0))
+# Shares of the order's time between which the exposure rises from its first
+# value to all; sessions that began on the old version may move in the second
+# half only, and caches of the new servers warm up prompt by prompt.
+RAMP_START = 0.5
+RAMP_END = 0.75
 # Of the bound on a bad version's exposure, the part used in the first half.
 FIRST_EXPOSURE = 0.6
 # Share of the order's time after which a sound version is completed: the old
 # servers' last streams have ended by then.
-COMPLETE_AT = 0.85
+COMPLETE_AT = 0.9
 
 
 def is_bad(new: Evidence, old: Evidence) -> bool:
@@ -118,8 +120,8 @@
     :param elapsed_share: the part of the order's time that has passed.
     :param exposure_bound: the bound on a bad version's share of requests.
     """
-    exposure = exposure_bound * FIRST_EXPOSURE
-    for start, share in RAMP:
-        if elapsed_share >= start:
-            exposure = share
-    return exposure
+    first = exposure_bound * FIRST_EXPOSURE
+    if elapsed_share <= RAMP_START:
+        return first
+    risen = (elapsed_share - RAMP_START) / (RAMP_END - RAMP_START)
+    return min(1.0, first + risen * (1.0 - first))
