Share reads of the store between instances; thin messages between zones

The first in line reads; the others follow its messages, pull what changed from it, and read themselves when its copy ages.

Ruled out: pulling long configurations from a peer, since links go down to 5 Mbit/s.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -25,6 +25,7 @@
     gossip,
     metrics,
     node,
+    peer_copy,
     peer_news,
     probe_server,
     replica,
@@ -69,22 +70,39 @@
         self._log = log
         self._counters = counters
         pace = settings.pace
+        self._boot = time.time_ns() // 1_000_000
+        self._gossip = gossip.Gossip(
+            settings.gossip_address,
+            settings.zone,
+            settings.seeds,
+            self._make_news,
+            self._take_news,
+            log,
+        )
+        self._covers = peer_copy.PeerCovers(
+            self._gossip, headers, settings.name
+        )
         self._operator = follower.Follower(
             topics.operator,
             replica.Replica(),
             follower.Pace(pace.operator_wait_seconds, 0.0),
             log,
-            take_change=self._take_operator_change,
+            self._take_operator_change,
+            self._covers,
+            takes_peer_records=False,
         )
         self._entries = follower.Follower(
             topics.endpoints,
             replica.Replica(),
             follower.Pace(0.0, pace.entries_pause_seconds),
             log,
-            take_change=lambda: self._members.refresh(),
+            self._take_entries_change,
+            self._covers,
         )
         self._current = current.Current(self._operator.copy, records, log)
-        self._members = directory.Directory(self._entries, records, log)
+        self._members = directory.Directory(
+            self._entries.copy, records, log
+        )
         self._rollouts = rollout.Rollouts(
             self._operator.copy,
             records,
@@ -111,14 +129,6 @@
         )
         self._is_draining = False
         self._refuses = False
-        self._boot = time.time_ns() // 1_000_000
-        self._gossip = gossip.Gossip(
-            settings.gossip_address,
-            settings.seeds,
-            self._make_news,
-            self._take_news,
-            log,
-        )
         self._stop = asyncio.Event()
         self._started = asyncio.Event()
         self._callers_port = 0
@@ -213,14 +223,40 @@
             self._settings.name,
             self._boot,
             sequence,
+            self._settings.zone,
             self._settings.gossip_address,
             self._is_draining,
             loads,
             self._rollouts.list_news(),
             peers,
             tuple(self._warm.take_waiting()),
+            self._list_copies(),
         )
 
+    def _list_copies(self) -> tuple[peer_news.CopyNews, ...]:
+        operator = self._operator.copy
+        entries = self._entries.copy
+        copies = []
+        if operator.is_loaded:
+            copies.append(
+                peer_news.CopyNews(
+                    self._operator.topic_name,
+                    operator.end,
+                    operator.end,
+                    operator.age(),
+                )
+            )
+        if entries.is_loaded:
+            copies.append(
+                peer_news.CopyNews(
+                    self._entries.topic_name,
+                    entries.end,
+                    self._members.changed_end,
+                    entries.age(),
+                )
+            )
+        return tuple(copies)
+
     def _take_news(self, news: peer_news.PeerNews | None) -> None:
         """Take over the peers' loads and what they know of roll-outs."""
         alive = self._gossip.alive
@@ -241,6 +277,13 @@
             self._listen(self._server, self._settings.callers_address),
             self._listen(self._probes, self._settings.ready_address),
         ]
+        copies = peer_copy.CopyServer(
+            {
+                one.topic_name: one.copy
+                for one in (self._operator, self._entries)
+            }
+        )
+        servers.append(self._listen(copies, self._settings.gossip_address))
         if self._settings.metrics_address:
             servers.append(
                 self._listen(self._probes, self._settings.metrics_address)
@@ -263,6 +306,7 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         self._pool.close()
+        self._covers.close()
         self._topics.close()
         self._log.write("stopped")
 
@@ -287,6 +331,12 @@
     def _take_operator_change(self) -> None:
         self._current.get()
         self._rollouts.refresh()
+        self._gossip.send(is_urgent=True)
+
+    def _take_entries_change(self) -> None:
+        before = self._members.last_changed_end
+        if self._members.changed_end != before:
+            self._gossip.send(is_urgent=True)
 
     def _note_hangup(self) -> None:
         self._log.write("reloaded", cause="SIGHUP")
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -6,9 +6,9 @@
 from wagtailstream_router import (
     endpoint,
     event_log,
-    follower,
     health,
     peer_news,
+    replica,
     wire,
 )
 
@@ -87,14 +87,14 @@
 class Directory:
     """Keeps the members in step with the store's entries.
 
-    :param source: follows the topic of entries.
+    :param source: the copy of the topic of entries.
     :param codec: decodes entries.
     :param log: takes who joins, drains and leaves.
     """
 
     def __init__(
         self,
-        source: follower.Follower,
+        source: replica.Replica,
         codec: wire.RecordCodec,
         log: event_log.EventLog,
     ) -> None:
@@ -104,12 +104,24 @@
         self._members: dict[str, Member] = {}
         self._seen_change = -1
         self._values: dict[str, bytes] = {}
+        self._changed_end = 0
 
     @property
     def members(self) -> dict[str, Member]:
         """All members by id, draining and doubtful ones too."""
         return self._members
 
+    @property
+    def last_changed_end(self) -> int:
+        """The same, without a look at the newest records."""
+        return self._changed_end
+
+    @property
+    def changed_end(self) -> int:
+        """The offset after the last record that changed a member."""
+        self.refresh()
+        return self._changed_end
+
     @property
     def addresses(self) -> frozenset[str]:
         """The addresses of the members that may get work."""
@@ -155,7 +167,7 @@
     def refresh(self) -> None:
         """Take over what changed in the entries since the last time."""
         self._drop_overdue()
-        copy = self._source.copy
+        copy = self._source
         if copy.change == self._seen_change:
             return
         self._seen_change = copy.change
@@ -180,6 +192,7 @@
         known = self._members.get(identity)
         if known is None or known.entry.born_ms != entry.born_ms:
             self._members[identity] = Member(entry)
+            self._changed_end = self._source.end
             self._log.write(
                 "endpoint_joined",
                 endpoint=identity,
@@ -188,6 +201,8 @@
                 state=entry.state.value,
             )
             return
+        if known.entry != entry or known.is_doubtful:
+            self._changed_end = self._source.end
         if known.entry.state is not entry.state:
             self._log.write(
                 "endpoint_state", endpoint=identity, state=entry.state.value
@@ -198,11 +213,12 @@
     def _miss(self, identity: str) -> None:
         member = self._members[identity]
         self._values.pop(identity, None)
+        self._changed_end = self._source.end
         if member.is_doubtful:
             return
         now = time.monotonic()
         grace_end = self._source.regained_at + LAPSE_GRACE_SECONDS
-        if self._source.is_lost:
+        if self._source.is_away:
             grace_end = now + LAPSE_GRACE_SECONDS
         if now < grace_end:
             member.doubtful_until = grace_end
--- a/packages/wagtailstream-router/wagtailstream_router/follower.py
+++ b/packages/wagtailstream-router/wagtailstream_router/follower.py
@@ -1,5 +1,6 @@
 """Keeps the copy of one topic current, through outages and compactions."""
 
+import abc
 import asyncio
 import collections.abc
 import dataclasses
@@ -10,6 +11,8 @@
 # Between tries while the store gives no answer: well under the two seconds
 # within which lapsed entries are back.
 RETRY_SECONDS = 0.4
+# Between looks at peers' copies: a third of the pause between their messages.
+COVERED_PAUSE_SECONDS = 0.07
 
 
 @dataclasses.dataclass(frozen=True)
@@ -24,15 +27,57 @@
     pause_seconds: float
 
 
+@dataclasses.dataclass(frozen=True)
+class Cover:
+    """A peer's copy that spares a read of the store.
+
+    :param source: reads the peer's copy.
+    :param end: the offset up to which the peer knows the topic.
+    :param changed_end: the offset after the last record that matters.
+    :param at: when the peer's copy was whole, by our monotonic clock.
+    """
+
+    source: store.Topic
+    end: int
+    changed_end: int
+    at: float
+
+
+class CoverSource(abc.ABC):
+    """Tells whether a peer's copy will do."""
+
+    @abc.abstractmethod
+    def find(self, topic: str) -> Cover | None:
+        """Return the newest copy of a topic among the peers."""
+
+    @abc.abstractmethod
+    def patience_seconds(self, topic: str) -> float:
+        """Return the age of a copy from which this process reads itself."""
+
+
+class NoCover(CoverSource):
+    """A process without peers."""
+
+    def find(self, topic: str) -> Cover | None:
+        """Return None."""
+        return None
+
+    def patience_seconds(self, topic: str) -> float:
+        """Return that it reads itself at once."""
+        return 0.0
+
+
 class Follower:
-    """Reads one topic into a replica.
+    """Keeps one topic's replica current, from the store or from peers.
 
     :param topic: the topic.
     :param copy: the replica to keep current.
     :param pace: how often to read.
     :param log: takes what the process comes to believe.
     :param take_change: is called when records have changed.
-    :param is_covered: whether a peer reads the topic for this process.
+    :param covers: finds peers' copies.
+    :param takes_peer_records: whether changes are read from the peer; where
+        they are long, they come from the store while it answers.
     """
 
     def __init__(
@@ -41,17 +86,18 @@
         copy: replica.Replica,
         pace: Pace,
         log: event_log.EventLog,
-        is_covered: collections.abc.Callable[[], bool] = lambda: False,
         take_change: collections.abc.Callable[[], object] = lambda: None,
+        covers: CoverSource | None = None,
+        takes_peer_records: bool = True,
     ) -> None:
         self._topic = topic
         self._copy = copy
         self._pace = pace
         self._log = log
-        self._is_covered = is_covered
         self._take_change = take_change
+        self._covers = covers or NoCover()
+        self._takes_peer_records = takes_peer_records
         self._lost_at: float | None = None
-        self._regained_at = float("-inf")
         self._told_change = 0
 
     @property
@@ -59,21 +105,21 @@
         """The replica that is kept current."""
         return self._copy
 
+    @property
+    def topic_name(self) -> str:
+        """The topic's name."""
+        return self._topic.name
+
     @property
     def is_lost(self) -> bool:
         """Whether the store gives no usable answers at present."""
         return self._lost_at is not None
 
-    @property
-    def regained_at(self) -> float:
-        """When the store last answered again, by the monotonic clock."""
-        return self._regained_at
-
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Keep the replica current until cancelled."""
         while True:
-            if self._is_covered():
-                await asyncio.sleep(self._pace.pause_seconds or RETRY_SECONDS)
+            if await self._take_cover():
+                await asyncio.sleep(COVERED_PAUSE_SECONDS)
                 continue
             try:
                 await self.read_once()
@@ -85,6 +131,32 @@
                 self._tell_change()
                 await asyncio.sleep(self._pace.pause_seconds)
 
+    async def _take_cover(self) -> bool:
+        """Return whether peers keep the replica current for now."""
+        cover = self._covers.find(self._topic.name)
+        if cover is not None and self._copy.is_loaded:
+            if cover.changed_end <= self._copy.end:
+                self._copy.skip_to(cover.end, cover.at)
+            elif self._takes_peer_records or self.is_lost:
+                await self._read_peer(cover)
+            else:
+                return False
+        patience = self._covers.patience_seconds(self._topic.name)
+        return self._copy.is_loaded and self._copy.age() < patience
+
+    async def _read_peer(self, cover: Cover) -> None:
+        try:
+            page = await cover.source.read_newest()
+        except errors.StoreError as error:
+            # The store itself is asked next.
+            self._log.write_routine("peer_copy_failed", detail=str(error))
+            return
+        self._copy.reset(page, cover.at)
+        self._log.write_routine(
+            "peer_copy_taken", topic=self._topic.name, offset=page.next_offset
+        )
+        self._tell_change()
+
     async def read_once(self) -> None:
         """Read what is new, or all where the copy is empty or outdated.
 
@@ -94,10 +166,9 @@
         if not self._copy.is_loaded:
             self._copy.reset(await self._topic.read_newest(), began)
             return
+        wait = self._pace.wait_seconds
         try:
-            page = await self._topic.read_from(
-                self._copy.end, self._pace.wait_seconds
-            )
+            page = await self._topic.read_from(self._copy.end, wait)
         except errors.StoreCompactedError as error:
             self._log.write(
                 "history_lost", topic=self._topic.name, detail=error.detail
@@ -105,8 +176,8 @@
             began = time.monotonic()
             self._copy.reset(await self._topic.read_newest(), began)
             return
-        # A held read vouches for the copy up to its answer.
-        self._copy.extend(page, began)
+        # A read that was held to its end vouches for the copy until then.
+        self._copy.extend(page, began if page.records else began + wait)
 
     def _tell_change(self) -> None:
         if self._copy.change != self._told_change:
@@ -123,11 +194,10 @@
     def _note_regained(self) -> None:
         if self._lost_at is None:
             return
-        self._regained_at = time.monotonic()
         self._log.write(
             "store_regained",
             topic=self._topic.name,
-            after_seconds=round(self._regained_at - self._lost_at, 3),
+            after_seconds=round(time.monotonic() - self._lost_at, 3),
             offset=self._copy.end,
         )
         self._lost_at = None
--- a/packages/wagtailstream-router/wagtailstream_router/gossip.py
+++ b/packages/wagtailstream-router/wagtailstream_router/gossip.py
@@ -10,7 +10,10 @@
 # Between messages: a queue of the engines lasts some hundred ms.
 INTERVAL_SECONDS = 0.2
 # A peer that is silent for longer is not counted as alive, nor its load.
-SILENCE_SECONDS = 1.5
+SILENCE_SECONDS = 2.0
+# Messages to other zones in one round; a larger fleet takes turns there, as
+# bytes between zones have a price.
+OTHER_ZONE_TARGETS = 4
 # A peer that is silent for longer still is forgotten; until then it counts
 # for shares of the fleet's budgets.
 FORGET_SECONDS = 20.0
@@ -39,6 +42,7 @@
     """Sends this instance's state to its peers, and keeps theirs.
 
     :param address: where this instance takes messages.
+    :param zone: where it runs.
     :param seeds: where peers may be.
     :param make_news: returns this instance's state.
     :param take_news: takes each message, and None when a peer falls silent.
@@ -47,12 +51,15 @@
     def __init__(
         self,
         address: str,
+        zone: str,
         seeds: collections.abc.Sequence[str],
         make_news: MakeNews,
         take_news: TakeNews,
         log: event_log.EventLog,
     ) -> None:
         self._address = address
+        self._zone = zone
+        self._turn = 0
         self._seeds = frozenset(seeds)
         self._make_news = make_news
         self._take_news = take_news
@@ -87,24 +94,42 @@
         finally:
             self._transport.close()
 
-    def send(self) -> None:
-        """Send this instance's state to all peers now."""
-        if self._transport is None:
+    def send(self, is_urgent: bool = False) -> None:
+        """Send this instance's state now.
+
+        :param is_urgent: whether all peers get it, in whatever zone.
+        """
+        if self._transport is None or self._transport.is_closing():
             return
         self._forget()
         self._sequence += 1
-        targets = self._targets()
+        known = self._list_known()
         data = peer_news.encode(
-            self._make_news(self._sequence, tuple(sorted(targets)))
+            self._make_news(self._sequence, tuple(sorted(known)))
         )
-        for target in targets:
+        for target in known if is_urgent else self._choose_targets(known):
             host, _, port = target.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
-    def _targets(self) -> set[str]:
+    def _list_known(self) -> set[str]:
         known = {peer.news.address for peer in self._peers.values()}
         return (known | self._seeds | self._hints) - {self._address}
 
+    def _choose_targets(self, known: set[str]) -> list[str]:
+        """Return all of this zone, and some of the others in turn."""
+        near = {
+            peer.news.address
+            for peer in self._peers.values()
+            if peer.news.zone == self._zone
+        }
+        far = sorted(known - near)
+        count = min(OTHER_ZONE_TARGETS, len(far))
+        chosen = [
+            far[(self._turn + place) % len(far)] for place in range(count)
+        ]
+        self._turn += count
+        return sorted(near & known) + chosen
+
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take a peer's message."""
         try:
@@ -123,7 +148,7 @@
             self._log.write("peer_heard", peer=news.name)
         self._peers[news.name] = Peer(news, time.monotonic())
         # Peers of peers are asked once; who answers is kept.
-        self._hints = set(news.peers) - self._targets()
+        self._hints = set(news.peers) - self._list_known()
         self._take_news(news)
 
     def error_received(self, exc: Exception) -> None:
--- a/packages/wagtailstream-router/wagtailstream_router/node.py
+++ b/packages/wagtailstream-router/wagtailstream_router/node.py
@@ -31,8 +31,8 @@
     :param entries_pause_seconds: between reads of the endpoints' entries.
     """
 
-    operator_wait_seconds: float = 1.4
-    entries_pause_seconds: float = 0.7
+    operator_wait_seconds: float = 0.8
+    entries_pause_seconds: float = 0.6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
@@ -0,0 +1,208 @@
+"""Copies of the store's topics, read from peers."""
+
+import asyncio
+import base64
+import collections.abc
+import random
+
+import orjson
+from tornado import httputil
+
+from wagtailstream_router import (
+    endpoint_link,
+    errors,
+    follower,
+    gossip,
+    replica,
+    store,
+    wire,
+)
+
+# A peer that does not answer by then is passed over for the store.
+CALL_SECONDS = 0.5
+PATH_PREFIX = "/copy/"
+# From this age of a copy a process reads the store itself. The first in line
+# reads all the time; the next ones wait for what its messages say.
+NEXT_PATIENCE_SECONDS = 0.9
+# Added for each further place in line, so that not all read at once.
+PLACE_PATIENCE_SECONDS = 0.1
+MAX_PATIENCE_SECONDS = 1.4
+
+
+class PeerTopic(store.Topic):
+    """A peer's copy of a topic; it can only be read whole.
+
+    :param pool: connections to peers.
+    :param address: where the peer serves its copies.
+    :param name: the topic's name.
+    """
+
+    def __init__(
+        self, pool: endpoint_link.LinkPool, address: str, name: str
+    ) -> None:
+        self._pool = pool
+        self._address = address
+        self._name = name
+
+    @property
+    def name(self) -> str:
+        """The topic's name."""
+        return self._name
+
+    async def read_newest(self) -> store.Page:
+        """Return the newest record of each key."""
+        try:
+            async with asyncio.timeout(CALL_SECONDS):
+                return _decode(await self._fetch())
+        except (
+            TimeoutError,
+            ValueError,
+            errors.NotSentError,
+            errors.BrokenAnswerError,
+        ) as error:
+            raise errors.StoreError(
+                "read a peer's copy", self._address, repr(error)
+            ) from error
+
+    async def _fetch(self) -> bytes:
+        link = await self._pool.take(self._address, False)
+        try:
+            fields = [("Host", self._address)]
+            link.send("GET", PATH_PREFIX + self._name, fields, b"")
+            head = await link.read_head()
+            pieces = []
+            while (piece := await link.read_piece()) is not None:
+                pieces.append(piece)
+            if head.status != 200:
+                raise ValueError(f"status {head.status}")
+            return b"".join(pieces)
+        finally:
+            self._pool.give_back(link)
+
+    async def read_from(self, offset: int, wait_seconds: float) -> store.Page:
+        """Refuse: a peer keeps no history."""
+        raise errors.StoreCompactedError("read", self._address, str(offset))
+
+    async def append(self, key: str, value: bytes, expected_end: int) -> int:
+        """Refuse: only the store takes records."""
+        raise errors.StoreError("append", self._address, "a copy")
+
+
+def encode(copy: replica.Replica) -> bytes:
+    """Return a copy's records as peers read them."""
+    rows = [
+        [key, base64.b64encode(record.value or b"").decode(), record.offset]
+        for key, record in copy.records.items()
+    ]
+    return orjson.dumps([copy.end, rows])
+
+
+def _decode(data: bytes) -> store.Page:
+    """Return a peer's records.
+
+    :raises ValueError: the bytes are none.
+    """
+    try:
+        end, rows = orjson.loads(data)
+        return store.Page(
+            tuple(
+                store.Record(str(key), base64.b64decode(value), int(offset))
+                for key, value, offset in rows
+            ),
+            int(end),
+        )
+    except TypeError as error:
+        raise ValueError(f"no copy: {error!r}") from error
+
+
+class PeerCovers(follower.CoverSource):
+    """Chooses the peer with the newest copy of a topic.
+
+    :param peers: knows the peers.
+    :param codec: decodes heads.
+    :param name: this instance's name.
+    """
+
+    def __init__(
+        self, peers: gossip.Gossip, codec: wire.HeaderCodec, name: str
+    ) -> None:
+        self._peers = peers
+        self._pool = endpoint_link.LinkPool(codec)
+        self._name = name
+        self._jitter = random.Random().uniform(0.0, PLACE_PATIENCE_SECONDS)
+
+    def find(self, topic: str) -> follower.Cover | None:
+        """Return the newest copy of a topic among the peers."""
+        best: follower.Cover | None = None
+        for peer in self._peers.alive:
+            for one in peer.news.copies:
+                at = peer.heard_at - one.age_seconds
+                if one.topic == topic and (best is None or at > best.at):
+                    best = follower.Cover(
+                        PeerTopic(self._pool, peer.news.address, topic),
+                        one.end,
+                        one.changed_end,
+                        at,
+                    )
+        return best
+
+    def patience_seconds(self, topic: str) -> float:
+        """Return the age of a copy from which this process reads itself."""
+        before = sum(
+            peer.news.name < self._name and not peer.news.is_draining
+            for peer in self._peers.alive
+        )
+        if not before:
+            return 0.0
+        patience = NEXT_PATIENCE_SECONDS + PLACE_PATIENCE_SECONDS * before
+        return min(MAX_PATIENCE_SECONDS, patience) + self._jitter
+
+    def close(self) -> None:
+        """Close connections to peers."""
+        self._pool.close()
+
+
+class CopyServer(httputil.HTTPServerConnectionDelegate):
+    """Serves this instance's copies to peers.
+
+    :param copies: the copies by topic.
+    """
+
+    def __init__(
+        self, copies: collections.abc.Mapping[str, replica.Replica]
+    ) -> None:
+        self.copies = copies
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Take the next request of a connection."""
+        return _CopyReader(self, request_conn)
+
+
+class _CopyReader(httputil.HTTPMessageDelegate):
+    def __init__(
+        self, owner: CopyServer, connection: httputil.HTTPConnection
+    ) -> None:
+        self._owner = owner
+        self._connection = connection
+        self._path = ""
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        if isinstance(start_line, httputil.RequestStartLine):
+            self._path = start_line.path
+
+    def finish(self) -> None:
+        copy = self._owner.copies.get(self._path.removeprefix(PATH_PREFIX))
+        is_known = copy is not None and copy.is_loaded
+        body = encode(copy) if copy is not None and is_known else b""
+        headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
+        line = httputil.ResponseStartLine(
+            "HTTP/1.1", 200 if is_known else 404, ""
+        )
+        self._connection.write_headers(line, headers, body)
+        self._connection.finish()
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -33,6 +33,21 @@
     evidence: dict[str, rollout_state.Evidence]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyNews:
+    """How current an instance's copy of a topic is.
+
+    :param end: the offset up to which it knows the topic.
+    :param changed_end: the offset after the last record that matters.
+    :param age_seconds: since the copy was known to be whole.
+    """
+
+    topic: str
+    end: int
+    changed_end: int
+    age_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerNews:
     """One instance's state.
@@ -40,23 +55,27 @@
     :param name: the instance's name.
     :param boot: its start, by its own clock; orders its lives.
     :param sequence: rises with each message of a life.
+    :param zone: where it runs.
     :param address: where it takes messages.
     :param is_draining: whether it leaves.
     :param loads: its work by endpoint.
     :param rollouts: the roll-outs that it knows.
     :param peers: addresses of instances that it hears.
     :param warm: endpoints and marks of prompts that it sent there lately.
+    :param copies: its copies of the store's topics.
     """
 
     name: str
     boot: int
     sequence: int
+    zone: str
     address: str
     is_draining: bool
     loads: dict[str, EndpointLoad]
     rollouts: tuple[RolloutNews, ...]
     peers: tuple[str, ...]
     warm: tuple[tuple[str, int], ...]
+    copies: tuple[CopyNews, ...]
 
 
 def encode(news: PeerNews) -> bytes:
@@ -66,6 +85,7 @@
             news.name,
             news.boot,
             news.sequence,
+            news.zone,
             news.address,
             news.is_draining,
             {
@@ -75,6 +95,10 @@
             [_encode_rollout(one) for one in news.rollouts],
             news.peers,
             news.warm,
+            [
+                [one.topic, one.end, one.changed_end, round(one.age_seconds, 3)]
+                for one in news.copies
+            ],
         ]
     )
 
@@ -104,17 +128,20 @@
             name,
             boot,
             sequence,
+            zone,
             address,
             is_draining,
             loads,
             rollouts,
             peers,
             warm,
+            copies,
         ) = orjson.loads(data)
         return PeerNews(
             str(name),
             int(boot),
             int(sequence),
+            str(zone),
             str(address),
             bool(is_draining),
             {
@@ -124,6 +151,10 @@
             tuple(map(_decode_rollout, rollouts)),
             tuple(map(str, peers)),
             tuple((str(one), int(mark)) for one, mark in warm),
+            tuple(
+                CopyNews(str(topic), int(end), int(changed), float(age))
+                for topic, end, changed, age in copies
+            ),
         )
     except (TypeError, AttributeError, KeyError) as error:
         raise ValueError(f"no message of a peer: {error!r}") from error
--- a/packages/wagtailstream-router/wagtailstream_router/replica.py
+++ b/packages/wagtailstream-router/wagtailstream_router/replica.py
@@ -4,6 +4,10 @@
 
 from wagtailstream_router import store
 
+# A copy that is not confirmed for longer missed what may have lapsed with the
+# store: three heartbeats of the sheets' endpoints are longer still.
+AWAY_SECONDS = 1.9
+
 
 class Replica:
     """The newest record of each key, up to an offset.
@@ -17,6 +21,17 @@
         self._end = -1
         self._current_at = float("-inf")
         self._change = 0
+        self._regained_at = float("-inf")
+
+    @property
+    def regained_at(self) -> float:
+        """When the copy was last confirmed after a time without."""
+        return self._regained_at
+
+    @property
+    def is_away(self) -> bool:
+        """Whether the copy was not confirmed for long."""
+        return self.age() > AWAY_SECONDS
 
     @property
     def end(self) -> int:
@@ -52,8 +67,19 @@
 
         :param at: the moment, by the monotonic clock.
         """
+        if self.is_loaded and self.is_away and at > self._current_at:
+            self._regained_at = time.monotonic()
         self._current_at = max(self._current_at, at)
 
+    def skip_to(self, end: int, at: float) -> None:
+        """Note that records up to an offset change nothing that matters.
+
+        :param end: the offset up to which a peer knows the topic.
+        :param at: when the peer's copy was whole.
+        """
+        self._end = max(self._end, end)
+        self.confirm(at)
+
     def reset(self, page: store.Page, at: float) -> None:
         """Take the newest record of each key in place of what is held.
 
@@ -69,9 +95,9 @@
                 records[key] = record
         if records != self._records:
             self._change += 1
+        self.confirm(at)
         self._records = records
         self._end = page.next_offset
-        self.confirm(at)
 
     def extend(self, page: store.Page, at: float) -> None:
         """Take the records that follow what is held.
