Take back the smallest model's own servers

Cause: tried to shorten the smallest model's streams. Conclusion: no gain beyond noise; the largest model's streams got slower by what the smallest gained.

--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -28,11 +28,6 @@
 # Added for each token of a shared part that would be read again: the price of
 # reading it, and of the memory that a second copy takes from others.
 REREAD_MS_PER_TOKEN = 0.015
-# The share of a service's model servers that the smallest model prefers: a
-# server makes all its tokens at the pace of the largest model that runs there.
-SMALLEST_SHARE = 0.3
-# Spared by a request that leaves the servers that its model prefers.
-APART_MS = 120.0
 # The queue of an endpoint that is slower than its fellows counts this much at
 # most.
 MAX_SLOWNESS = 6.0
@@ -95,8 +90,6 @@
     speed = engine_time.speed_of(route, model)
     shared = call.prompt_tokens - call.own_tokens
     usual = _usual_duration(usable)
-    is_smallest = len(route.sizes) > 1 and model == route.sizes[0]
-    apart = _list_smallest_homes(usable) if route.sizes else frozenset()
     best: Estimate | None = None
     best_score = float("inf")
     for place, member in enumerate(ranked):
@@ -106,25 +99,12 @@
         first_ms = member.queue_ms + work_ms
         unknown = max(0, shared - kept)
         score = first_ms + RANK_MS * place + REREAD_MS_PER_TOKEN * unknown
-        if apart and (member.identity in apart) != is_smallest:
-            score += APART_MS
         if score < best_score:
             best = Estimate(member, first_ms, work_ms)
             best_score = score
     return best
 
 
-def _list_smallest_homes(
-    members: collections.abc.Sequence[directory.Member],
-) -> frozenset[str]:
-    """Return the servers that the smallest model prefers."""
-    if len(members) < 2:
-        return frozenset()
-    count = max(1, round(SMALLEST_SHARE * len(members)))
-    ranked = sorted(members, key=lambda member: _rank(member, "smallest"))
-    return frozenset(member.identity for member in ranked[:count])
-
-
 def _usual_duration(
     members: collections.abc.Sequence[directory.Member],
 ) -> float:
