--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -16,6 +16,7 @@
     metrics,
     placement,
     rollout,
+    rollout_state,
     warm_prompts,
 )
 
@@ -28,6 +29,10 @@
 # Of the longest pause for full credit, after which a stream goes on
 # elsewhere; what is left is for the other endpoint to read the prompt.
 STALL_SHARE = 0.6
+# A first token later than this speaks against a version: four times what was
+# expected, and the longest step of an engine that reads a prompt.
+SLOW_FIRST_FACTOR = 4.0
+SLOW_FIRST_MS = 150.0
 # Where a route states no longest pause.
 DEFAULT_GAP_SECONDS = 1.0
 
@@ -180,9 +185,11 @@
                     return
             except exchange.AttemptError as error:
                 self._owner._tries.note_failure(task, member, error)
-                self._owner._versions.note_answer(
-                    task, member, error.fault is health.Fault.SHED, False, 0.0
-                )
+                if error.fault is health.Fault.ERROR:
+                    # Cuts and silence speak of a server, not of its version.
+                    self._owner._versions.note_answer(
+                        task, member, rollout_state.Sample(is_failed=True)
+                    )
                 self._reason = metrics.Counter.REFUSED_BY_ENDPOINT
                 if not self._owner._tries.may_send_again(task, error.fault):
                     self._owner._answerer.give_up(task, self._reason)
@@ -247,14 +254,22 @@
                 return await self._take_failure(answer)
             if not self._relay.is_started and self._climb(answer):
                 owner._versions.note_answer(
-                    task, member, True, True, time.monotonic() - began
+                    task, member, self._make_sample(chosen, began)
                 )
                 return False
             await self._relay_events(answer)
         seconds = (self._relay.first_at or time.monotonic()) - began
-        self._note_end(chosen, seconds)
+        self._note_end(chosen, began, seconds)
         return True
 
+    def _make_sample(
+        self, chosen: placement.Estimate, began: float
+    ) -> rollout_state.Sample:
+        first_at = self._relay.first_at or time.monotonic()
+        first_ms = (first_at - began) * 1000.0
+        bound_ms = SLOW_FIRST_MS + SLOW_FIRST_FACTOR * chosen.first_ms
+        return rollout_state.Sample(is_slow=first_ms > bound_ms)
+
     async def _take_failure(self, answer: exchange.Exchange) -> bool:
         body = await answer.read_body()
         task = self._task
@@ -270,7 +285,7 @@
             )
         answer.member.health.note_failure(health.Fault.ERROR)
         self._owner._versions.note_answer(
-            task, answer.member, False, False, 0.0
+            task, answer.member, rollout_state.Sample(is_failed=True)
         )
         self._owner._counters.count(metrics.Counter.FAILED_BY_ENDPOINT)
         self._owner._log.write(
@@ -382,7 +397,7 @@
         return gap * STALL_SHARE
 
     def _note_end(
-        self, chosen: placement.Estimate, first_seconds: float
+        self, chosen: placement.Estimate, began: float, first_seconds: float
     ) -> None:
         member = chosen.member
         task = self._task
@@ -391,7 +406,9 @@
         gap_ms = self._relay.usual_gap_seconds * 1000.0
         if gap_ms:
             member.health.note_success(gap_ms / speed.decode_ms)
-        owner._versions.note_answer(task, member, True, True, gap_ms)
+        owner._versions.note_answer(
+            task, member, self._make_sample(chosen, began)
+        )
         owner._counters.count(metrics.Counter.ANSWERED)
         now = time.monotonic()
         owner._counters.observe(
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -112,7 +112,7 @@
         status.order_offset,
         status.started_ms,
         {
-            version: [one.good, one.bad, round(one.gap_sum, 2), one.gap_count]
+            version: [one.good, one.bad, one.slow]
             for version, one in news.evidence.items()
         },
     ]
@@ -175,8 +175,8 @@
         status,
         {
             str(version): rollout_state.Evidence(
-                int(good), int(bad), float(gap_sum), int(gap_count)
+                int(good), int(bad), int(slow)
             )
-            for version, (good, bad, gap_sum, gap_count) in evidence.items()
+            for version, (good, bad, slow) in evidence.items()
         },
     )
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -8,7 +8,6 @@
 
 from wagtailstream_router import (
     directory,
-    engine_time,
     errors,
     event_log,
     job,
@@ -201,7 +200,25 @@
         chosen = [one for one in members if one.entry.version == version]
         if chosen and task.call.session:
             self._pins.note(task.call.session, version)
-        return chosen
+        return self._limit_exposed(task.service, version, chosen)
+
+    def _limit_exposed(
+        self, service: str, version: str, members: list[directory.Member]
+    ) -> list[directory.Member]:
+        """Leave out new servers that are not yet exposed."""
+        progress = self._progress.get(service)
+        if (
+            progress is None
+            or progress.order.target != version
+            or progress.stage is not rollout_state.Stage.RUNNING
+        ):
+            return members
+        exposure = rollout_state.exposure_at(
+            progress.elapsed_share, self._exposure_bound
+        )
+        count = rollout_state.count_exposed(exposure, len(members))
+        ranked = sorted(members, key=lambda member: _rank(version, member))
+        return ranked[:count]
 
     def _note_versions(
         self,
@@ -262,34 +279,17 @@
         self,
         task: job.Job,
         member: directory.Member,
-        is_good: bool,
-        is_whole: bool,
-        gap_ms: float,
+        sample: rollout_state.Sample,
     ) -> None:
-        """Count an answer as evidence on its version.
-
-        :param is_good: whether it speaks for the version.
-        :param is_whole: whether the answer came.
-        :param gap_ms: the mean pause between events; 0 if not known.
-        """
+        """Count an answer as evidence on its version."""
         progress = self._progress.get(task.service)
         if progress is None or (
             progress.stage is not rollout_state.Stage.RUNNING
         ):
             return
-        if is_good and not is_whole:
-            return
-        evidence = progress.answers.setdefault(
+        progress.answers.setdefault(
             member.entry.version, rollout_state.Evidence()
-        )
-        if is_good:
-            evidence.good += 1
-        else:
-            evidence.bad += 1
-        if gap_ms and task.route.sizes:
-            usual = engine_time.speed_of(task.route, task.route.sizes[0])
-            evidence.gap_sum += gap_ms / usual.decode_ms
-            evidence.gap_count += 1
+        ).count(sample)
         self.judge(progress)
 
     def judge(self, progress: Progress) -> None:
@@ -318,8 +318,10 @@
             cause=cause,
             new_good=new.good,
             new_bad=new.bad,
+            new_slow=new.slow,
             old_good=old.good,
             old_bad=old.bad,
+            old_slow=old.slow,
             elapsed_share=round(progress.elapsed_share, 3),
         )
 
@@ -404,3 +406,7 @@
                 target=progress.order.target,
                 stage=stage.value,
             )
+
+
+def _rank(version: str, member: directory.Member) -> int:
+    return xxhash.xxh32_intdigest(f"{version}|{member.identity}".encode())
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 class Stage(enum.Enum):
@@ -39,21 +40,30 @@
     started_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """What one answer says of its version.
+
+    :param is_failed: whether the endpoint answered with a failure.
+    :param is_slow: whether the first token came far later than expected.
+    """
+
+    is_failed: bool = False
+    is_slow: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class Evidence:
     """Answers of one version, since the order.
 
     :param good: answers without fault.
     :param bad: failures of the version's endpoints.
-    :param gap_sum: the sum of the mean pauses between events, relative to
-        the model's usual pause.
-    :param gap_count: how many streams are in the sum.
+    :param slow: answers that began late; they are in the good ones too.
     """
 
     good: int = 0
     bad: int = 0
-    gap_sum: float = 0.0
-    gap_count: int = 0
+    slow: int = 0
 
     @property
     def total(self) -> int:
@@ -66,34 +76,43 @@
         return self.bad / self.total if self.total else 0.0
 
     @property
-    def mean_gap(self) -> float:
-        """The mean relative pause, 0 before the first."""
-        return self.gap_sum / self.gap_count if self.gap_count else 0.0
+    def slow_share(self) -> float:
+        """The share of answers that began late."""
+        return self.slow / self.total if self.total else 0.0
+
+    def count(self, sample: Sample) -> None:
+        """Count one answer."""
+        self.good += not sample.is_failed
+        self.bad += sample.is_failed
+        self.slow += sample.is_slow
 
     def add(self, other: "Evidence") -> None:
         """Add another process's evidence."""
         self.good += other.good
         self.bad += other.bad
-        self.gap_sum += other.gap_sum
-        self.gap_count += other.gap_count
-
-
-# Failures, and share of failures, from which a version counts as bad: the
-# fiftieth failure must find the verdict in force, and single crashes of
-# endpoints must not look like a bad version.
-MIN_BAD = 4
-MIN_BAD_SHARE = 0.15
-BAD_SHARE_FACTOR = 2.5
-# Streams, and slowness against the old version, from which it is too slow.
-MIN_SLOW_STREAMS = 6
-SLOW_FACTOR = 2.2
+        self.slow += other.slow
+
+
+# Failures from which a version may count as bad: one server's bad moment must
+# not look like a bad version.
+MIN_BAD = 3
+# The chance, at the old version's rate of failures, below which the new one's
+# failures count as its own. To take back a good version costs a duty; to keep
+# a bad one breaks the bound on its exposure.
+MAX_CHANCE = 0.01
+# The least rate that the old version is taken to fail at.
+MIN_RATE = 0.004
+# The least rate at which its answers are taken to begin late.
+MIN_SLOW_RATE = 0.05
+# The old version's rate counts this much more, for what moves between both.
+RATE_FACTOR = 1.5
 # Shares of the order's time between which the exposure rises from its first
 # value to all; sessions that began on the old version may move in the second
 # half only, and caches of the new servers warm up prompt by prompt.
 RAMP_START = 0.5
 RAMP_END = 0.75
 # Of the bound on a bad version's exposure, the part used in the first half.
-FIRST_EXPOSURE = 0.6
+FIRST_EXPOSURE = 0.9
 # Share of the order's time after which a sound version is completed: the old
 # servers' last streams have ended by then.
 COMPLETE_AT = 0.9
@@ -101,17 +120,33 @@
 
 def is_bad(new: Evidence, old: Evidence) -> bool:
     """Return whether the new version does worse than the old one."""
-    fails = (
-        new.bad >= MIN_BAD
-        and new.bad_share >= MIN_BAD_SHARE
-        and new.bad_share >= BAD_SHARE_FACTOR * old.bad_share
-    )
-    is_slow = (
-        new.gap_count >= MIN_SLOW_STREAMS
-        and old.gap_count >= MIN_SLOW_STREAMS
-        and new.mean_gap >= SLOW_FACTOR * old.mean_gap
+    fails = _is_worse(new.bad, new.total, old.bad_share, MIN_RATE)
+    begins_late = _is_worse(new.slow, new.total, old.slow_share, MIN_SLOW_RATE)
+    return fails or begins_late
+
+
+def _is_worse(
+    count: int, total: int, old_share: float, min_rate: float
+) -> bool:
+    rate = max(min_rate, RATE_FACTOR * old_share)
+    if count < MIN_BAD:
+        return False
+    return chance_of_more(count, total, rate) < MAX_CHANCE
+
+
+def chance_of_more(failures: int, total: int, rate: float) -> float:
+    """Return the chance of this many failures or more.
+
+    :param failures: how many of the answers failed.
+    :param total: all answers.
+    :param rate: the chance of one to fail.
+    """
+    rate = min(rate, 1.0)
+    fewer = sum(
+        math.comb(total, count) * rate**count * (1 - rate) ** (total - count)
+        for count in range(failures)
     )
-    return fails or is_slow
+    return max(0.0, 1.0 - fewer)
 
 
 def exposure_at(elapsed_share: float, exposure_bound: float) -> float:
@@ -125,3 +160,15 @@
         return first
     risen = (elapsed_share - RAMP_START) / (RAMP_END - RAMP_START)
     return min(1.0, first + risen * (1.0 - first))
+
+
+def count_exposed(exposure: float, server_count: int) -> int:
+    """Return how many of the new version's servers get requests.
+
+    Each gets as much as it will when all requests go there, so that a version
+    that fails under load only shows it while few requests are exposed.
+
+    :param exposure: the share of requests that the new version gets.
+    :param server_count: how many servers of the new version there are.
+    """
+    return max(1, math.ceil(exposure * server_count))
