--- a/Makefile
+++ b/Makefile
@@ -3,8 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
-PACKAGES := packages/wagtailstream-core packages/wagtailstream-platform packages/wagtailstream-entry packages/wagtailstream-agent
-SOURCES := packages standins experiments tests tools
+PACKAGES := packages/wagtailstream-core packages/wagtailstream-runtime packages/wagtailstream-entry packages/wagtailstream-agent packages/wagtailstream-router platform
+SOURCES := packages platform standins experiments tests tools
 PORT ?= 0
 # How many files of tests run at once.
 WORKERS ?= 4
@@ -33,8 +33,9 @@
 lint: setup
 	$(BIN)/ruff format --check $(SOURCES)
 	$(BIN)/ruff check $(SOURCES)
-	$(BIN)/mypy packages standins experiments tools
+	$(BIN)/mypy packages platform/wagtailstream_adapter standins experiments tools
 	$(BIN)/python tools/check_imports.py
+	$(BIN)/python tools/check_names.py
 
 format: setup
 	$(BIN)/ruff check --fix $(SOURCES)
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -36,7 +36,7 @@
     wire_pb2,
     work,
 )
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     alarm,
     bill_outbox,
     factory,
--- a/packages/wagtailstream-agent/wagtailstream_agent/claims.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/claims.py
@@ -7,7 +7,7 @@
 import typing
 
 from wagtailstream_core import clock, configuration, errors, ledger
-from wagtailstream_platform import log_client
+from wagtailstream_runtime import log_client
 
 APPEND_RETRY_SECONDS = 0.1
 ABANDON_RETRY_SECONDS = 0.25
--- a/packages/wagtailstream-agent/wagtailstream_agent/cli.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/cli.py
@@ -8,8 +8,8 @@
 
 from wagtailstream_agent import app, settings
 from wagtailstream_core import errors
-from wagtailstream_platform import logs
-from wagtailstream_platform import settings as platform_settings
+from wagtailstream_runtime import logs
+from wagtailstream_runtime import settings as platform_settings
 
 EXIT_SETTINGS = 2
 
--- a/packages/wagtailstream-agent/wagtailstream_agent/collector.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/collector.py
@@ -6,7 +6,7 @@
 import logging
 
 from wagtailstream_core import collectors, errors, wire_pb2
-from wagtailstream_platform import log_client, metrics
+from wagtailstream_runtime import log_client, metrics
 
 MAX_WAITING = 20000
 MAX_RECORDS_PER_APPEND = 500
--- a/packages/wagtailstream-agent/wagtailstream_agent/execution.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/execution.py
@@ -17,7 +17,7 @@
     wire_pb2,
     work,
 )
-from wagtailstream_platform import bill_outbox
+from wagtailstream_runtime import bill_outbox
 
 _LOGGER = logging.getLogger(__name__)
 MAX_WAITING_FRAMES = 4096
--- a/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/grpc_service.py
@@ -24,7 +24,7 @@
     wire_grpc,
     wire_pb2,
 )
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     alarm,
     auth,
     bill_outbox,
--- a/packages/wagtailstream-agent/wagtailstream_agent/loader.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/loader.py
@@ -16,7 +16,7 @@
 
 from wagtailstream_agent import engine
 from wagtailstream_core import bundle, configuration, errors, freshness
-from wagtailstream_platform import follower
+from wagtailstream_runtime import follower
 
 OBSERVE_SECONDS = 0.5
 LOADING_OBSERVE_SECONDS = 0.05
--- a/packages/wagtailstream-agent/wagtailstream_agent/settings.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/settings.py
@@ -4,7 +4,7 @@
 
 import pydantic
 
-from wagtailstream_platform import settings
+from wagtailstream_runtime import settings
 
 
 class AgentSettings(settings.Common):
--- a/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
@@ -17,7 +17,7 @@
     work,
 )
 from wagtailstream_entry import agent_state, connection
-from wagtailstream_platform import alarm, follower
+from wagtailstream_runtime import alarm, follower
 
 MAX_RUNS_PER_CONNECTION = 80
 REDIAL_SECONDS = 0.25
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -43,7 +43,7 @@
     status_report,
     version_watch,
 )
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     alarm,
     bill_outbox,
     factory,
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli.py
@@ -19,8 +19,8 @@
     operations,
     settings,
 )
-from wagtailstream_platform import logs
-from wagtailstream_platform import settings as platform_settings
+from wagtailstream_runtime import logs
+from wagtailstream_runtime import settings as platform_settings
 
 
 @click.group(
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli_bundle.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli_bundle.py
@@ -20,7 +20,7 @@
     operations,
     operator_settings,
 )
-from wagtailstream_platform import log_client
+from wagtailstream_runtime import log_client
 
 PathArgument = click.Path(path_type=pathlib.Path)
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli_change.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli_change.py
@@ -10,8 +10,8 @@
 
 from wagtailstream_core import configuration, errors, records
 from wagtailstream_entry import cli_output, operations, operator_settings
-from wagtailstream_platform import log_client
-from wagtailstream_platform import settings as platform_settings
+from wagtailstream_runtime import log_client
+from wagtailstream_runtime import settings as platform_settings
 
 APPEND_TRIES = 20
 DEFAULT_WAIT_SECONDS = 10.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/climb_ladder.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/climb_ladder.py
@@ -11,7 +11,7 @@
     rating,
     version_watch,
 )
-from wagtailstream_platform import follower, metrics
+from wagtailstream_runtime import follower, metrics
 
 Runner = collections.abc.Callable[
     [exchange.Exchange, str, exchange.AnswerSink],
--- a/packages/wagtailstream-entry/wagtailstream_entry/connection.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/connection.py
@@ -25,7 +25,7 @@
     wire_pb2,
     work,
 )
-from wagtailstream_platform import alarm, auth, strike_board
+from wagtailstream_runtime import alarm, auth, strike_board
 
 SILENCE_SECONDS = 3.0
 CALL_TIMEOUT_SECONDS = 3.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
@@ -28,7 +28,7 @@
     quarantine,
     target,
 )
-from wagtailstream_platform import metrics
+from wagtailstream_runtime import metrics
 
 STEP = "dispatch"
 RETRY_SECONDS = 2.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/handler_base.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/handler_base.py
@@ -19,7 +19,7 @@
     responses,
     run_model,
 )
-from wagtailstream_platform import follower, metrics
+from wagtailstream_runtime import follower, metrics
 
 STEP = "http"
 DRAIN_RETRY_SECONDS = 1.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/link_choice.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/link_choice.py
@@ -3,7 +3,7 @@
 import collections.abc
 
 from wagtailstream_core import bundle, membership
-from wagtailstream_platform import instance_list
+from wagtailstream_runtime import instance_list
 
 OptionalBundle = bundle.Bundle | None
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/links.py
@@ -19,7 +19,7 @@
     wire_pb2,
 )
 from wagtailstream_entry import agent_link, connection, limit, link_choice
-from wagtailstream_platform import auth, follower, instance_list
+from wagtailstream_runtime import auth, follower, instance_list
 
 FORGET_SECONDS = 30.0
 # Heartbeats that may be missed before an endpoint is suspect.
--- a/packages/wagtailstream-entry/wagtailstream_entry/operations.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/operations.py
@@ -20,7 +20,7 @@
     signing,
     snapshots,
 )
-from wagtailstream_platform import log_client
+from wagtailstream_runtime import log_client
 
 RETRY_SECONDS = 0.5
 STATUS_TIMEOUT_SECONDS = 2.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/operator_settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/operator_settings.py
@@ -3,7 +3,7 @@
 import pydantic
 
 from wagtailstream_core import signing
-from wagtailstream_platform import settings
+from wagtailstream_runtime import settings
 
 
 class OperatorSettings(settings.Section):
--- a/packages/wagtailstream-entry/wagtailstream_entry/quarantine.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/quarantine.py
@@ -4,7 +4,7 @@
 import logging
 
 from wagtailstream_core import clock, errors, records, signing
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     follower,
     log_client,
     strike_board,
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
@@ -22,7 +22,7 @@
     target,
     version_watch,
 )
-from wagtailstream_platform import follower
+from wagtailstream_runtime import follower
 
 STEP = "plan"
 MAX_VERSION_CHOICES = 3
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
@@ -23,7 +23,7 @@
     pipeline,
     target,
 )
-from wagtailstream_platform import follower
+from wagtailstream_runtime import follower
 
 STEP = "service"
 POLL_SECONDS = 0.05
--- a/packages/wagtailstream-entry/wagtailstream_entry/sampling.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/sampling.py
@@ -9,7 +9,7 @@
 
 from wagtailstream_core import cascade, configuration
 from wagtailstream_entry import exchange, rating, version_watch
-from wagtailstream_platform import follower, metrics
+from wagtailstream_runtime import follower, metrics
 
 MAX_ANSWER_BYTES = 65536
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/settings.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settings.py
@@ -2,7 +2,7 @@
 
 import pydantic
 
-from wagtailstream_platform import settings
+from wagtailstream_runtime import settings
 
 
 class CallerTls(settings.Section):
--- a/packages/wagtailstream-entry/wagtailstream_entry/settle.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/settle.py
@@ -6,7 +6,7 @@
 
 from wagtailstream_core import billing, clock, errors
 from wagtailstream_entry import exchange, pipeline
-from wagtailstream_platform import bill_outbox
+from wagtailstream_runtime import bill_outbox
 
 STEP = "settle"
 DURABLE_WAIT_SECONDS = 0.5
--- a/packages/wagtailstream-entry/wagtailstream_entry/version_watch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/version_watch.py
@@ -19,7 +19,7 @@
     tallies,
     wire_pb2,
 )
-from wagtailstream_platform import follower, log_client, metrics
+from wagtailstream_runtime import follower, log_client, metrics
 
 JUDGE_SECONDS = 0.2
 FOLD_WAIT_SECONDS = 2.0
--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -100,9 +100,7 @@
             self._covers,
         )
         self._current = current.Current(self._operator.copy, records, log)
-        self._members = directory.Directory(
-            self._entries.copy, records, log
-        )
+        self._members = directory.Directory(self._entries.copy, records, log)
         self._rollouts = rollout.Rollouts(
             self._operator.copy,
             records,
@@ -349,7 +347,9 @@
             try:
                 await self._conductor.step()
             except errors.StoreError as error:
-                self._log.write_routine("status_not_written", detail=str(error))
+                self._log.write_routine(
+                    "status_not_written", detail=str(error)
+                )
 
     async def _prune(self) -> None:
         while True:
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -238,4 +238,3 @@
     def _remove(self, identity: str, reason: str) -> None:
         del self._members[identity]
         self._log.write("endpoint_gone", endpoint=identity, reason=reason)
-
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -8,6 +8,7 @@
 import contextlib
 import socket
 import time
+import typing
 
 import h11
 from tornado import iostream
@@ -219,7 +220,7 @@
         return data
 
 
-def _ignore_result(done: "asyncio.Future[object]") -> None:
+def _ignore_result(done: "asyncio.Future[typing.Any]") -> None:
     if not done.cancelled():
         done.exception()
 
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -209,4 +209,3 @@
                 health.Fault.BROKEN, True, "the answer is not the endpoint's"
             )
         return head
-
--- /dev/null
+++ b/packages/wagtailstream-router/wagtailstream_router/explanation.py
@@ -0,0 +1,85 @@
+"""Finds the log lines on one request, and what its endpoints went through."""
+
+import collections.abc
+import dataclasses
+import pathlib
+
+import orjson
+
+# Lines on an endpoint that explain a request it was sent, this close to it.
+NEAR_SECONDS = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """One line of a log.
+
+    :param time: the Unix time at which it was written.
+    :param endpoint: the endpoint that it is about; "" if none.
+    """
+
+    time: float
+    event: str
+    node: str
+    request: str
+    endpoint: str
+    rest: str
+
+
+def collect(
+    request_id: str, files: collections.abc.Iterable[str]
+) -> list[str]:
+    """Return the lines on a request and on its endpoints, in order of time.
+
+    :param request_id: the caller's id of the request.
+    :param files: the processes' logs; other lines in them are passed over.
+    """
+    lines = [line for path in files for line in _read(path)]
+    own = [line for line in lines if line.request == request_id]
+    if not own:
+        return []
+    endpoints = {line.endpoint for line in own if line.endpoint}
+    first = min(line.time for line in own) - NEAR_SECONDS
+    last = max(line.time for line in own) + NEAR_SECONDS
+    near = [
+        line
+        for line in lines
+        if not line.request
+        and line.endpoint in endpoints
+        and first <= line.time <= last
+    ]
+    chosen = sorted(own + near, key=lambda line: line.time)
+    return [_render(line) for line in chosen]
+
+
+def _read(path: str) -> collections.abc.Iterator[Line]:
+    for raw in pathlib.Path(path).read_bytes().splitlines():
+        # Collected logs may have a prefix before the line's own bytes.
+        _, brace, body = raw.partition(b"{")
+        if not brace:
+            continue
+        try:
+            table = orjson.loads(brace + body)
+        except ValueError:
+            # Another program's line.
+            continue
+        yield _decode(table)
+
+
+def _decode(table: dict[str, object]) -> Line:
+    known = ("time", "message", "node", "request", "endpoint")
+    rest = {key: value for key, value in table.items() if key not in known}
+    time = table.get("time")
+    return Line(
+        float(time) if isinstance(time, (int, float)) else 0.0,
+        str(table.get("message", "")),
+        str(table.get("node", "")),
+        str(table.get("request", "")),
+        str(table.get("endpoint", "")),
+        " ".join(f"{key}={value}" for key, value in rest.items()),
+    )
+
+
+def _render(line: Line) -> str:
+    about = f" endpoint={line.endpoint}" if line.endpoint else ""
+    return f"{line.time:.3f} {line.node} {line.event}{about} {line.rest}"
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -154,4 +154,3 @@
             configuration=task.configuration_version,
         )
         task.reply.send(head.status, head.headers, body)
-
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -274,11 +274,11 @@
         body = await answer.read_body()
         task = self._task
         head = answer.head
-        if head.status >= 500 and task.route.may_repeat:
-            if self._owner._tries.may_send_extra(task):
-                raise exchange.AttemptError(
-                    health.Fault.ERROR, True, f"status {head.status}"
-                )
+        may_repeat = head.status >= 500 and task.route.may_repeat
+        if may_repeat and self._owner._tries.may_send_extra(task):
+            raise exchange.AttemptError(
+                health.Fault.ERROR, True, f"status {head.status}"
+            )
         if self._relay.is_started:
             raise exchange.AttemptError(
                 health.Fault.ERROR, True, f"status {head.status}"
--- a/packages/wagtailstream-router/wagtailstream_router/ladder.py
+++ b/packages/wagtailstream-router/wagtailstream_router/ladder.py
@@ -97,9 +97,7 @@
     queue_ms: float
 
 
-def credit_of(
-    credits_: Credits, priority: int, relative_size: float
-) -> float:
+def credit_of(credits_: Credits, priority: int, relative_size: float) -> float:
     """Return what a good answer in time earns.
 
     :param relative_size: the request's size against its route's mean.
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -96,7 +96,12 @@
             news.peers,
             news.warm,
             [
-                [one.topic, one.end, one.changed_end, round(one.age_seconds, 3)]
+                [
+                    one.topic,
+                    one.end,
+                    one.changed_end,
+                    round(one.age_seconds, 3),
+                ]
                 for one in news.copies
             ],
         ]
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -299,9 +299,7 @@
         new, old = progress.sum_evidence()
         if rollout_state.is_bad(new, old):
             self._end(progress, rollout_state.Stage.ROLLED_BACK, "evidence")
-        elif (
-            progress.elapsed_share >= rollout_state.COMPLETE_AT and new.total
-        ):
+        elif progress.elapsed_share >= rollout_state.COMPLETE_AT and new.total:
             self._end(progress, rollout_state.Stage.COMPLETED, "time")
 
     def _end(
--- a/packages/wagtailstream-platform/wagtailstream_platform/bill_outbox.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/bill_outbox.py
@@ -5,7 +5,7 @@
 import logging
 
 from wagtailstream_core import billing, errors
-from wagtailstream_platform import log_client, metrics
+from wagtailstream_runtime import log_client, metrics
 
 RETRY_SECONDS = 0.25
 DRAIN_LIMIT_SECONDS = 5.0
--- a/packages/wagtailstream-platform/wagtailstream_platform/collector_client.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/collector_client.py
@@ -11,7 +11,7 @@
 import grpclib.exceptions
 
 from wagtailstream_core import collectors, errors, wire_grpc, wire_pb2
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     auth,
     instance_list,
     log_client,
--- a/packages/wagtailstream-platform/wagtailstream_platform/factory.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/factory.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     auth,
     collector_client,
     instance_list,
--- a/packages/wagtailstream-platform/wagtailstream_platform/follower.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/follower.py
@@ -14,7 +14,7 @@
     signing,
     snapshots,
 )
-from wagtailstream_platform import log_client, metrics
+from wagtailstream_runtime import log_client, metrics
 
 RETRY_SECONDS = 0.2
 KEPT_RECORDS = 200
--- a/packages/wagtailstream-platform/wagtailstream_platform/reporter.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/reporter.py
@@ -5,7 +5,7 @@
 import dataclasses
 
 from wagtailstream_core import freshness
-from wagtailstream_platform import metrics
+from wagtailstream_runtime import metrics
 
 INTERVAL_SECONDS = 1.0
 
--- a/packages/wagtailstream-platform/wagtailstream_platform/snapshot_keeper.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/snapshot_keeper.py
@@ -12,7 +12,7 @@
     signing,
     snapshots,
 )
-from wagtailstream_platform import follower, log_client, metrics
+from wagtailstream_runtime import follower, log_client, metrics
 
 MAX_CHECK_SECONDS = 60.0
 CHECKS_PER_RETENTION = 100
--- a/packages/wagtailstream-platform/wagtailstream_platform/strike_board.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/strike_board.py
@@ -13,7 +13,7 @@
     strikes,
     wire_pb2,
 )
-from wagtailstream_platform import alarm, follower, metrics
+from wagtailstream_runtime import alarm, follower, metrics
 
 STEP = "strikes"
 MAX_NEWS_PER_HEARTBEAT = 64
--- a/packages/wagtailstream-platform/wagtailstream_platform/tls.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/tls.py
@@ -4,7 +4,7 @@
 import ssl
 
 from wagtailstream_core import errors
-from wagtailstream_platform import settings
+from wagtailstream_runtime import settings
 
 _ALPN_HTTP2 = "h2"
 
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -89,9 +89,7 @@
 
     async def start(self) -> None:
         """Listen on a port that the system picks."""
-        self._server = await asyncio.start_server(
-            self._accept, "127.0.0.1", 0
-        )
+        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
@@ -197,9 +195,7 @@
             return None
 
 
-def _make_headers(
-    plan: Plan, arrival: Arrival
-) -> list[tuple[str, str]]:
+def _make_headers(plan: Plan, arrival: Arrival) -> list[tuple[str, str]]:
     echo = plan.echo
     if echo is None:
         echo = arrival.headers.get(names.REQUEST_ID.lower(), "")
--- a/tests/agent/test_claims.py
+++ b/tests/agent/test_claims.py
@@ -12,7 +12,7 @@
 
 from wagtailstream_agent import claims
 from wagtailstream_core import clock, errors, ledger
-from wagtailstream_platform import log_client
+from wagtailstream_runtime import log_client
 
 WINDOW_SECONDS = 60.0
 LIMIT_SECONDS = 20.0
--- a/tests/agent/test_collector.py
+++ b/tests/agent/test_collector.py
@@ -8,7 +8,7 @@
 
 from wagtailstream_agent import collector
 from wagtailstream_core import billing, errors, wire_grpc
-from wagtailstream_platform import (
+from wagtailstream_runtime import (
     auth,
     collector_client,
     instance_list,
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -26,7 +26,7 @@
     exchange,
     target,
 )
-from wagtailstream_platform import metrics
+from wagtailstream_runtime import metrics
 
 VERSION = configuration.ModelVersion("m", "1")
 TEXT = b"whole"
--- a/tests/entry/test_operations.py
+++ b/tests/entry/test_operations.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.core import support as core_support
-from tests.platform import support
+from tests.runtime import support
 from wagtailstream_core import clock, configuration, records, snapshots
 from wagtailstream_entry import operations
 
--- a/tests/integration/configuration_support.py
+++ b/tests/integration/configuration_support.py
@@ -20,7 +20,7 @@
     work,
 )
 from wagtailstream_entry import connection, operations, operator_settings
-from wagtailstream_platform import factory, log_client, settings
+from wagtailstream_runtime import factory, log_client, settings
 
 # Longer than an instance trusts a configuration without news of the log.
 STALE_SECONDS = freshness.FRESHNESS_LIMIT_SECONDS + 1.5
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -14,7 +14,7 @@
 from tests.integration import support
 from wagtailstream_core import records, signing, wire_grpc, wire_pb2
 from wagtailstream_entry import cli_output, connection
-from wagtailstream_platform import auth
+from wagtailstream_runtime import auth
 
 
 @pytest.fixture(scope="module")
--- a/tests/router/__init__.py
+++ b/tests/router/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the router and of its adapter to the platform."""
--- a/tests/router/support.py
+++ b/tests/router/support.py
@@ -145,7 +145,9 @@
         platform = self.platform
         self.router = app.Router(
             _make_settings(bounds_slack),
-            store.Store(platform.operator, platform.endpoints, platform.status),
+            store.Store(
+                platform.operator, platform.endpoints, platform.status
+            ),
             headers.PlatformHeaders(),
             records.PlatformRecords(),
             self.log,
--- a/tests/router/test_forward_plain.py
+++ b/tests/router/test_forward_plain.py
@@ -68,7 +68,7 @@
     endpoint = await fleet.add_endpoint("plain-1", "plain")
     await fleet.start()
     await fleet.call("GET", support.SAFE_PATH, deadline_ms=700)
-    assert 0 < int(endpoint.arrivals[0].headers[names.DEADLINE_MS.lower()])
+    assert int(endpoint.arrivals[0].headers[names.DEADLINE_MS.lower()]) > 0
     assert int(endpoint.arrivals[0].headers[names.DEADLINE_MS.lower()]) <= 700
 
 
@@ -120,7 +120,9 @@
     endpoint = await fleet.add_endpoint("plain-1", "plain")
     endpoint.default = platform_endpoint.Plan(gate=asyncio.Event())
     await fleet.start()
-    reply = await fleet.call("POST", support.UNSAFE_PATH, b"x", deadline_ms=200)
+    reply = await fleet.call(
+        "POST", support.UNSAFE_PATH, b"x", deadline_ms=200
+    )
     assert reply.status == 504
     assert endpoint.runs == 1
 
--- a/tests/platform/support.py
+++ b/tests/runtime/support.py
@@ -8,7 +8,7 @@
     errors,
     records,
 )
-from wagtailstream_platform import follower, log_client, metrics
+from wagtailstream_runtime import follower, log_client, metrics
 
 
 class FaultyLog(log_client.LogClient):
--- a/tests/platform/test_auth.py
+++ b/tests/runtime/test_auth.py
@@ -5,7 +5,7 @@
 import pytest
 
 from wagtailstream_core import errors
-from wagtailstream_platform import auth
+from wagtailstream_runtime import auth
 
 METHOD = "/wagtailstream.Agent/Run"
 OLD = {"one": b"1" * 32}
--- a/tests/platform/test_bill_outbox.py
+++ b/tests/runtime/test_bill_outbox.py
@@ -7,7 +7,7 @@
 import hypothesis.strategies as st
 
 from wagtailstream_core import billing, errors
-from wagtailstream_platform import bill_outbox, log_client, metrics
+from wagtailstream_runtime import bill_outbox, log_client, metrics
 
 LIMIT_SECONDS = 20.0
 
--- a/tests/platform/test_factory.py
+++ b/tests/runtime/test_factory.py
@@ -5,7 +5,7 @@
 import types
 import typing
 
-from wagtailstream_platform import factory
+from wagtailstream_runtime import factory
 
 
 def test_accepted_connections_send_small_pieces_at_once():
--- a/tests/platform/test_follower.py
+++ b/tests/runtime/test_follower.py
@@ -3,7 +3,7 @@
 import pytest
 
 from tests.core import support as core_support
-from tests.platform import support
+from tests.runtime import support
 from wagtailstream_core import (
     clock,
     configuration,
@@ -11,7 +11,7 @@
     records,
     snapshots,
 )
-from wagtailstream_platform import follower
+from wagtailstream_runtime import follower
 
 
 @pytest.fixture
--- a/tests/platform/test_snapshot_keeper.py
+++ b/tests/runtime/test_snapshot_keeper.py
@@ -3,9 +3,9 @@
 import random
 
 from tests.core import support as core_support
-from tests.platform import support
+from tests.runtime import support
 from wagtailstream_core import clock, freshness, records, snapshots
-from wagtailstream_platform import follower, metrics, snapshot_keeper
+from wagtailstream_runtime import follower, metrics, snapshot_keeper
 
 RETENTION_SECONDS = 1000.0
 STEP_SECONDS = 5.0
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,7 +7,7 @@
 
 from wagtailstream_core import errors
 from wagtailstream_entry import responses
-from wagtailstream_platform import metrics
+from wagtailstream_runtime import metrics
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
 PACKAGES = DOCS.parent / "packages"
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -1,4 +1,4 @@
-"""Checks that imports point from entry and agent to platform and core."""
+"""Checks that imports point the allowed way between packages."""
 
 import ast
 import pathlib
@@ -6,13 +6,26 @@
 
 FORBIDDEN = {
     "wagtailstream_core": {
-        "wagtailstream_platform",
+        "wagtailstream_runtime",
         "wagtailstream_entry",
         "wagtailstream_agent",
         "standins",
         "experiments",
     },
-    "wagtailstream_platform": {
+    "wagtailstream_runtime": {
+        "wagtailstream_entry",
+        "wagtailstream_agent",
+        "standins",
+        "experiments",
+    },
+    "wagtailstream_router": {
+        "wagtailstream_adapter",
+        "wagtailstream_entry",
+        "wagtailstream_agent",
+        "standins",
+        "experiments",
+    },
+    "wagtailstream_adapter": {
         "wagtailstream_entry",
         "wagtailstream_agent",
         "standins",
@@ -37,13 +50,18 @@
     return packages
 
 
+def _list_sources(root: pathlib.Path) -> list[pathlib.Path]:
+    folders = (root / "packages", root / "platform")
+    return sorted(path for one in folders for path in one.rglob("*.py"))
+
+
 def find_violations(root: pathlib.Path) -> list[str]:
     """Return one line for each import in a forbidden direction.
 
     :param root: the repository's root.
     """
     violations = []
-    for path in sorted((root / "packages").rglob("*.py")):
+    for path in _list_sources(root):
         forbidden = FORBIDDEN.get(path.parent.name, set())
         for package in sorted(imported_packages(path.read_text()) & forbidden):
             violations.append(f"{path.relative_to(root)}: imports {package}")
@@ -52,5 +70,8 @@
 
 if __name__ == "__main__":
     found = find_violations(pathlib.Path(__file__).parent.parent)
-    print("\n".join(found) or "imports: entry, agent -> platform -> core")
+    print(
+        "\n".join(found)
+        or "imports: adapter -> router; entry, agent -> runtime -> core"
+    )
     sys.exit(1 if found else 0)
--- /dev/null
+++ b/tools/check_names.py
@@ -0,0 +1,39 @@
+"""Checks that nothing outside platform/ knows the platform's names."""
+
+import pathlib
+import re
+import sys
+
+# Headers, calls, topics and fields of the platform's wire and settings.
+NAMES = re.compile(
+    r"X-(Request-Id|Deadline-Milliseconds|Credential|Tenant|Expected-Instance"
+    r"|Expected-Version|Response-Signature|Not-Executed|Model|Token-Usage"
+    r"|Prefix-Hash|Length-Hint|Request-Priority|Confidence|Kv-Backup"
+    r"|Pin-Milliseconds|Hold|Instance-Id|Weight-Versions)"
+    r"|Kv-(From|Fetch)|log-(append|read|newest|join|leave|commit|owners|trim)"
+    r"|keyed\.(op|servers|status)|kvCache|kvToken|healthCheckPath"
+    r"|internalPortRange|configurationApplyMs|drainTimeoutMs|trafficSplit"
+    r"|streamResumption|targetGapMs|coldRemainingMs|maxAttempts|apiKeys"
+    r"|WAGTAILSTREAM_NODE_FILE|nodeName|machineClass|retryBudgetRatio"
+)
+
+
+def find_violations(root: pathlib.Path) -> list[str]:
+    """Return one line for each name of the platform outside platform/.
+
+    :param root: the repository's root.
+    """
+    violations = []
+    for path in sorted((root / "packages").rglob("*.py")):
+        for number, line in enumerate(path.read_text().splitlines(), 1):
+            found = NAMES.search(line)
+            if found:
+                place = f"{path.relative_to(root)}:{number}"
+                violations.append(f"{place}: {found.group()}")
+    return violations
+
+
+if __name__ == "__main__":
+    found_names = find_violations(pathlib.Path(__file__).parent.parent)
+    print("\n".join(found_names) or "names: the platform's stay in platform/")
+    sys.exit(1 if found_names else 0)
