Test decisions, roll-outs, peers, store client, logs and leaving

Cause: the new modules had tests of the whole path alone. Ruled out: a malformed entry removing a known endpoint (it does not).

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -129,12 +129,18 @@
         self._refuses = False
         self._stop = asyncio.Event()
         self._started = asyncio.Event()
-        self._callers_port = 0
+        self._ports: dict[str, int] = {}
 
     @property
     def callers_port(self) -> int:
         """The port that callers connect to, once it is open."""
-        return self._callers_port
+        return self._ports["callers"]
+
+    @property
+    def copies_address(self) -> str:
+        """Where peers read this instance's copies, once it is open."""
+        host = self._settings.gossip_address.rpartition(":")[0]
+        return f"{host}:{self._ports['copies']}"
 
     @property
     def is_ready(self) -> bool:
@@ -272,8 +278,10 @@
             loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
         servers = [
-            self._listen(self._server, self._settings.callers_address),
-            self._listen(self._probes, self._settings.ready_address),
+            self._listen(
+                "callers", self._server, self._settings.callers_address
+            ),
+            self._listen("ready", self._probes, self._settings.ready_address),
         ]
         copies = peer_copy.CopyServer(
             {
@@ -281,10 +289,14 @@
                 for one in (self._operator, self._entries)
             }
         )
-        servers.append(self._listen(copies, self._settings.gossip_address))
+        servers.append(
+            self._listen("copies", copies, self._settings.gossip_address)
+        )
         if self._settings.metrics_address:
             servers.append(
-                self._listen(self._probes, self._settings.metrics_address)
+                self._listen(
+                    "metrics", self._probes, self._settings.metrics_address
+                )
             )
         tasks = [
             asyncio.ensure_future(coroutine)
@@ -309,7 +321,10 @@
         self._log.write("stopped")
 
     def _listen(
-        self, delegate: httputil.HTTPServerConnectionDelegate, address: str
+        self,
+        name: str,
+        delegate: httputil.HTTPServerConnectionDelegate,
+        address: str,
     ) -> httpserver.HTTPServer:
         host, _, port = address.rpartition(":")
         sockets = netutil.bind_sockets(
@@ -322,8 +337,7 @@
             idle_connection_timeout=self._settings.idle_seconds,
         )
         server.add_sockets(sockets)
-        if delegate is self._server:
-            self._callers_port = sockets[0].getsockname()[1]
+        self._ports[name] = sockets[0].getsockname()[1]
         return server
 
     def _take_operator_change(self) -> None:
@@ -369,6 +383,7 @@
         await asyncio.sleep(leaving.accept_seconds)
         # What comes now might not end before the process does.
         self._refuses = True
+        self._log.write("refusing", open=len(self._server.tasks))
         await asyncio.sleep(leaving.leave_seconds - leaving.accept_seconds)
         while self._server.tasks and time.monotonic() < deadline:
             with contextlib.suppress(TimeoutError):
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -42,6 +42,13 @@
         dataclasses.field(default_factory=dict)
     )
 
+    @property
+    def is_due(self) -> bool:
+        """Whether the operator has still to be told."""
+        if self.stage is rollout_state.Stage.RUNNING:
+            return not self.is_announced
+        return not self.is_written
+
     @property
     def status(self) -> rollout_state.Status:
         """The roll-out's status, as written for the operator."""
@@ -352,11 +359,7 @@
         self._rollouts.refresh()
         for progress in list(self._rollouts.progress.values()):
             self._rollouts.judge(progress)
-            is_due = not progress.is_written and (
-                progress.stage is not rollout_state.Stage.RUNNING
-                or not progress.is_announced
-            )
-            if is_due:
+            if progress.is_due:
                 await self._write(progress)
 
     async def _write(self, progress: Progress) -> None:
@@ -369,7 +372,7 @@
         for record in page.records:
             if record.key == key and record.value is not None:
                 self._adopt(progress, record.value)
-        if progress.is_written:
+        if not progress.is_due:
             return
         stage = progress.stage
         value = self._codec.encode_status(progress.status)
--- /dev/null
+++ b/standins/platform_store.py
@@ -0,0 +1,205 @@
+"""The users' platform's store: keyed topics of one partition, over HTTP."""
+
+import asyncio
+import base64
+import dataclasses
+import enum
+
+import orjson
+from tornado import httpserver, netutil, web
+
+KEY_LENGTH_BYTES = 1
+OFFSET_BYTES = 8
+RECORD_LENGTH_BYTES = 4
+PAGE_ITEMS = 500
+
+
+class Fault(enum.Enum):
+    """How the store misbehaves."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+    LOST = "lost"
+
+
+@dataclasses.dataclass
+class Topic:
+    """The records of a topic; the first ones may be gone."""
+
+    first: int = 0
+    records: list[tuple[str, bytes]] = dataclasses.field(default_factory=list)
+    newest: dict[str, tuple[int, bytes]] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def end(self) -> int:
+        """The offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, key: str, value: bytes) -> None:
+        """Append a record; one without a value drops its key."""
+        if value:
+            self.newest[key] = (self.end, value)
+        else:
+            self.newest.pop(key, None)
+        self.records.append((key, value))
+
+
+class PlatformStore:
+    """Keeps topics in memory, and serves them on loopback."""
+
+    def __init__(self, page_items: int = PAGE_ITEMS) -> None:
+        self.topics: dict[str, Topic] = {}
+        self.fault = Fault.NONE
+        self.page_items = page_items
+        self.calls = 0
+        self.changed = asyncio.Event()
+        self.released = asyncio.Event()
+        self._server: httpserver.HTTPServer | None = None
+        self.address = ""
+
+    def topic(self, name: str) -> Topic:
+        """Return a topic; the first use creates it."""
+        return self.topics.setdefault(name, Topic())
+
+    def put(self, name: str, key: str, value: bytes) -> None:
+        """Append a record as the operator or an endpoint does."""
+        self.topic(name).append(key, value)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def compact(self, name: str) -> None:
+        """Drop the history of a topic; the newest records stay."""
+        topic = self.topic(name)
+        topic.first = topic.end
+        topic.records = []
+
+    def start(self) -> None:
+        """Listen on a port that the system picks."""
+        application = web.Application(
+            [
+                ("/log-append", _AppendHandler, {"store": self}),
+                ("/log-read", _ReadHandler, {"store": self}),
+                ("/log-newest", _NewestHandler, {"store": self}),
+            ]
+        )
+        sockets = netutil.bind_sockets(0, "127.0.0.1")
+        self._server = httpserver.HTTPServer(application)
+        self._server.add_sockets(sockets)
+        host, port = sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    async def close(self) -> None:
+        """Stop, and drop all connections."""
+        self.released.set()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, store: PlatformStore) -> None:
+        self.store = store
+
+    async def prepare(self) -> None:
+        self.store.calls += 1
+        if self.store.fault is Fault.BUSY:
+            self.set_status(503)
+            await self.finish()
+        elif self.store.fault is Fault.SILENT:
+            await self.store.released.wait()
+
+    def topic(self) -> Topic:
+        return self.store.topic(self.get_query_argument("topic"))
+
+
+class _AppendHandler(_Handler):
+    async def post(self) -> None:
+        topic = self.topic()
+        expected = self.get_query_argument("at", "")
+        if expected and int(expected) != topic.end:
+            self.set_status(412)
+            self.finish({"endOffset": topic.end})
+            return
+        offset = topic.end
+        for key, value in _split_keyed(self.request.body):
+            self.store.put(self.get_query_argument("topic"), key, value)
+        if self.store.fault is Fault.LOST:
+            # Done, and never answered.
+            await self.store.released.wait()
+        self.finish({"offset": offset, "endOffset": topic.end})
+
+
+class _ReadHandler(_Handler):
+    async def get(self) -> None:
+        topic = self.topic()
+        start = int(self.get_query_argument("from"))
+        wait_seconds = int(self.get_query_argument("waitMs", "0")) / 1000.0
+        if start >= topic.end and wait_seconds:
+            await _wait(self.store.changed, wait_seconds)
+        if start < topic.first:
+            self.set_status(410)
+            self.finish({"firstOffset": topic.first})
+            return
+        self.write(topic.end.to_bytes(OFFSET_BYTES, "big"))
+        self.write(topic.first.to_bytes(OFFSET_BYTES, "big"))
+        for key, value in topic.records[start - topic.first :]:
+            self.write(encode_keyed(key, value))
+        self.finish()
+
+
+class _NewestHandler(_Handler):
+    def get(self) -> None:
+        topic = self.topic()
+        after = self.get_query_argument("after", "")
+        keys = sorted(key for key in topic.newest if key > after)
+        page = keys[: self.store.page_items]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(topic.newest[key][1]).decode(),
+                "offset": topic.newest[key][0],
+            }
+            for key in page
+        ]
+        self.finish(
+            orjson.dumps(
+                {
+                    "items": items,
+                    "hasMore": len(keys) > len(page),
+                    "endOffset": topic.end,
+                }
+            )
+        )
+
+
+async def _wait(event: asyncio.Event, seconds: float) -> None:
+    try:
+        async with asyncio.timeout(seconds):
+            await event.wait()
+    except TimeoutError:
+        return
+
+
+def encode_keyed(key: str, value: bytes) -> bytes:
+    """Return a keyed record with its length."""
+    spelled = key.encode()
+    content = bytes([len(spelled)]) + spelled + value
+    return len(content).to_bytes(RECORD_LENGTH_BYTES, "big") + content
+
+
+def _split_keyed(body: bytes) -> list[tuple[str, bytes]]:
+    records = []
+    place = 0
+    while place < len(body):
+        start = place + RECORD_LENGTH_BYTES
+        size = int.from_bytes(body[place:start], "big")
+        content = body[start : start + size]
+        key_end = KEY_LENGTH_BYTES + content[0]
+        records.append(
+            (content[KEY_LENGTH_BYTES:key_end].decode(), content[key_end:])
+        )
+        place = start + size
+    return records
--- a/tests/router/support.py
+++ b/tests/router/support.py
@@ -10,10 +10,13 @@
 from wagtailstream_adapter import headers, names, records
 from wagtailstream_router import (
     app,
+    configuration,
     event_log,
     ladder,
     metrics,
     node,
+    reply,
+    request,
     retry_budget,
     store,
 )
@@ -130,9 +133,12 @@
     """A router, its store and its endpoints.
 
     :param bounds_slack: extra sends that the fleet's budget allows.
+    :param leave_seconds: how long connections may still come after SIGTERM.
     """
 
-    def __init__(self, bounds_slack: float = 50.0) -> None:
+    def __init__(
+        self, bounds_slack: float = 50.0, leave_seconds: float = 0.1
+    ) -> None:
         self.platform = Platform(
             store.MemoryTopic("operator"),
             store.MemoryTopic("endpoints"),
@@ -144,7 +150,7 @@
         self._task: asyncio.Task[None] | None = None
         platform = self.platform
         self.router = app.Router(
-            _make_settings(bounds_slack),
+            _make_settings(bounds_slack, leave_seconds),
             store.Store(
                 platform.operator, platform.endpoints, platform.status
             ),
@@ -238,7 +244,7 @@
     }
 
 
-def _make_settings(slack: float) -> node.Settings:
+def _make_settings(slack: float, leave_seconds: float) -> node.Settings:
     return node.Settings(
         name="router-1",
         zone="zone-1",
@@ -256,5 +262,58 @@
         ),
         credits_=ladder.Credits((4.5, 1.6, 0.29), 0.2),
         pace=node.Pace(0.2, 0.05),
-        leaving=node.Leaving(0.05, 0.1),
+        leaving=node.Leaving(0.05, leave_seconds),
+    )
+
+
+class NoReply(reply.Reply):
+    """A caller that is not there; for decisions without an answer."""
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the caller got the head of an answer."""
+        return False
+
+    def start(
+        self,
+        status: int,
+        headers: collections.abc.Sequence[tuple[str, str]],
+    ) -> None:
+        """Drop the head."""
+
+    def write(self, data: bytes) -> None:
+        """Drop bytes."""
+
+    def finish(self) -> None:
+        """Drop the end."""
+
+    def send(
+        self,
+        status: int,
+        headers: collections.abc.Sequence[tuple[str, str]],
+        body: bytes,
+    ) -> None:
+        """Drop an answer."""
+
+    def abort(self) -> None:
+        """Do nothing."""
+
+
+def decode_call(identity: str) -> request.Request:
+    """Return a caller's request for a model's answer."""
+    fields = make_headers(identity, **make_stream_fields())
+    codec = headers.PlatformHeaders()
+    # The prompt's shared part is the request's own here, so that each
+    # request is placed by itself.
+    pairs = [
+        (name, value.replace("aa:", f"{identity}:")) for name, value in fields
+    ]
+    return codec.decode_request("POST", STREAM_PATH, pairs, b"", 0.0)
+
+
+def decode_route(name: str) -> configuration.Route:
+    """Return a route of the configuration by its name."""
+    value = records.PlatformRecords().decode_configuration(
+        orjson.dumps(make_configuration())
     )
+    return next(route for route in value.routes if route.name == name)
--- /dev/null
+++ b/tests/router/test_decisions.py
@@ -0,0 +1,121 @@
+"""The pure decisions: time, models, versions, budgets."""
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from wagtailstream_router import (
+    engine_time,
+    ladder,
+    retry_budget,
+    rollout_state,
+)
+
+SPEED = engine_time.ModelSpeed(0.05, 1.0, 10.0)
+
+
+def test_known_tokens_shorten_the_reading_of_a_prompt() -> None:
+    whole = engine_time.prefill_ms(SPEED, 10000, 0)
+    assert engine_time.prefill_ms(SPEED, 10000, 9000) < whole / 5
+    assert engine_time.prefill_ms(SPEED, 10000, 20000) > 0
+
+
+def make_answered(confidence: float, left_ms: float = 2000) -> ladder.Answered:
+    return ladder.Answered(confidence, 4.5, left_ms, 4000.0, 0.0)
+
+
+CANDIDATES = [
+    ladder.Candidate("middle", 200.0, 200.0, 0.068),
+    ladder.Candidate("large", 800.0, 800.0, 0.14),
+]
+
+
+def test_a_confident_answer_is_kept() -> None:
+    assert ladder.choose_next(make_answered(90), CANDIDATES, 0.1) is None
+
+
+def test_a_doubtful_answer_is_asked_of_the_largest() -> None:
+    assert ladder.choose_next(make_answered(5), CANDIDATES, 0.1) == "large"
+
+
+def test_the_middle_model_is_asked_where_the_largest_is_late() -> None:
+    chosen = ladder.choose_next(make_answered(5, 500), CANDIDATES, 0.05)
+    assert chosen == "middle"
+
+
+def test_an_answer_is_kept_where_all_others_are_late() -> None:
+    assert ladder.choose_next(make_answered(45, 100), CANDIDATES, 0.1) is None
+
+
+def test_full_queues_raise_the_price_of_time() -> None:
+    busy = ladder.Answered(46.0, 1.0, 9000.0, 100.0, 5000.0)
+    free = ladder.Answered(46.0, 1.0, 9000.0, 100.0, 0.0)
+    assert ladder.choose_next(free, CANDIDATES, 0.1) == "large"
+    assert ladder.choose_next(busy, CANDIDATES, 0.1) is None
+
+
+def test_no_credit_means_no_larger_model() -> None:
+    nothing = ladder.Answered(0.0, 0.0, 9000.0, 100.0, 0.0)
+    assert ladder.choose_next(nothing, CANDIDATES, 0.1) is None
+
+
+@pytest.mark.parametrize(
+    ("new", "old", "expected"),
+    [
+        (rollout_state.Evidence(20, 0, 0), rollout_state.Evidence(90), False),
+        (rollout_state.Evidence(9, 3, 0), rollout_state.Evidence(90), True),
+        (rollout_state.Evidence(4, 0, 3), rollout_state.Evidence(90), True),
+        # One failure, or failures that the old version has as well.
+        (rollout_state.Evidence(20, 1, 0), rollout_state.Evidence(90), False),
+        (rollout_state.Evidence(9, 3), rollout_state.Evidence(60, 20), False),
+        (
+            rollout_state.Evidence(20, 0, 3),
+            rollout_state.Evidence(80, 0, 12),
+            False,
+        ),
+    ],
+)
+def test_a_version_is_judged_against_the_old_one(
+    new: rollout_state.Evidence,
+    old: rollout_state.Evidence,
+    expected: bool,
+) -> None:
+    assert rollout_state.is_bad(new, old) is expected
+
+
+@hypothesis.given(st.integers(0, 40), st.integers(1, 60), st.floats(0.0, 1.0))
+def test_a_chance_is_a_chance(failures: int, extra: int, rate: float) -> None:
+    chance = rollout_state.chance_of_more(failures, failures + extra, rate)
+    assert 0.0 <= chance <= 1.0
+
+
+@hypothesis.given(st.floats(0.0, 1.2), st.floats(0.0, 1.2))
+def test_exposure_only_rises(first: float, second: float) -> None:
+    low, high = sorted((first, second))
+    assert rollout_state.exposure_at(low, 0.15) <= rollout_state.exposure_at(
+        high, 0.15
+    )
+
+
+def test_the_first_half_stays_inside_the_bound() -> None:
+    for place in range(51):
+        assert rollout_state.exposure_at(place / 100, 0.15) < 0.15
+
+
+def test_few_new_servers_are_exposed_to_few_requests() -> None:
+    assert rollout_state.count_exposed(0.13, 5) == 1
+    assert rollout_state.count_exposed(0.5, 5) == 3
+    assert rollout_state.count_exposed(1.0, 5) == 5
+
+
+def test_the_budget_is_a_share_of_requests_and_of_the_slack() -> None:
+    bounds = retry_budget.BudgetBounds(0.5, 60.0, 10.0)
+    budget = retry_budget.RetryBudget(bounds)
+    for _ in range(20):
+        budget.note_request()
+    sent = 0
+    while budget.allows(2):
+        budget.note_extra()
+        sent += 1
+    assert 0 < sent <= 0.5 * 20 + 10 / 2
+    assert budget.extra_count == sent
--- /dev/null
+++ b/tests/router/test_node_file.py
@@ -0,0 +1,91 @@
+"""Settings that can't be used name file and key."""
+
+import pathlib
+
+import pytest
+
+from wagtailstream_adapter import node_file
+from wagtailstream_router import errors, policy
+
+NODE_FILE = """
+nodeName = "front-1"
+ipAddress = "10.1.0.40"
+zone = "zone-1"
+internalPortRange = [7340, 7355]
+seeds = ["10.1.0.41:8229"]
+somethingNew = 1
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+gracePeriodS = 8
+drainTimeoutMs = 2000
+exposureShare = 0.15
+sessionS = 5
+retryBudgetRatio = 0.9
+retryWindowS = 10
+retryBudgetSlack = 56
+[platform]
+address = "10.200.1.7:8223"
+"""
+POLICY = """
+credits: {by_priority: [4.5, 1.6], late_share: 0.2}
+metrics_port: 9464
+"""
+
+
+def write(folder: pathlib.Path, name: str, text: str) -> str:
+    path = folder / name
+    path.write_text(text)
+    return str(path)
+
+
+def test_a_file_is_read(tmp_path: pathlib.Path) -> None:
+    choices = policy.load(write(tmp_path, "policy.yaml", POLICY))
+    loaded = node_file.load(write(tmp_path, "node.toml", NODE_FILE), choices)
+    assert loaded.store_address == "10.200.1.7:8223"
+    assert loaded.settings.metrics_address == "10.1.0.40:9464"
+    assert loaded.settings.seeds == ("10.1.0.41:7340",)
+    assert loaded.settings.bounds.drain_seconds == 2.0
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "key"),
+    [
+        ('zone = "zone-1"', "zone = 3", "zone"),
+        ("gracePeriodS = 8", 'gracePeriodS = "8"', "bounds.gracePeriodS"),
+        ("sessionS = 5", "", "bounds.sessionS"),
+        ("[7340, 7355]", '["a"]', "internalPortRange"),
+        ('address = "10.200.1.7:8223"', "", "platform.address"),
+        ("[listen]", "[listen", "node.toml"),
+    ],
+)
+def test_a_bad_file_names_its_key(
+    tmp_path: pathlib.Path, old: str, new: str, key: str
+) -> None:
+    path = write(tmp_path, "node.toml", NODE_FILE.replace(old, new))
+    with pytest.raises(errors.SettingsError) as caught:
+        node_file.load(path, policy.Policy())
+    assert key in str(caught.value)
+    assert path in str(caught.value)
+
+
+@pytest.mark.parametrize(
+    ("text", "key"),
+    [
+        ("credits: 3", "credits"),
+        ("credits: {by_priority: [], late_share: 0.2}", "by_priority"),
+        ("credits: {by_priority: [x], late_share: 0.2}", "0"),
+        ("credits: {by_priority: [1], late_share: 2}", "late_share"),
+        (POLICY + "surprise: 1", "surprise"),
+        (POLICY.replace("9464", "70000"), "metrics_port"),
+        ("[", "policy.yaml"),
+    ],
+)
+def test_a_bad_policy_names_its_key(
+    tmp_path: pathlib.Path, text: str, key: str
+) -> None:
+    path = write(tmp_path, "policy.yaml", text)
+    with pytest.raises(errors.SettingsError) as caught:
+        policy.load(path)
+    assert key in str(caught.value)
