Count silence as a late first token, and pace by the largest model alone

Beside it, servers were taken for slow by the pauses of small models, which a large one beside them stretches, and the others filled up.

Ruled out: exposure by the first half alone (it stays at nine tenths of the bound). The test fails on the code before.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -157,6 +157,11 @@
         value = self._current.get()
         return value.version if value is not None else 0
 
+    @property
+    def endpoint_count(self) -> int:
+        """How many endpoints are known."""
+        return len(self._members.members)
+
     async def wait_started(self) -> None:
         """Wait until callers can connect."""
         await self._started.wait()
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -32,7 +32,7 @@
 # A first token later than this speaks against a version: four times what was
 # expected, and the longest step of an engine that reads a prompt.
 SLOW_FIRST_FACTOR = 4.0
-SLOW_FIRST_MS = 150.0
+SLOW_FIRST_MS = 100.0
 # Where a route states no longest pause.
 DEFAULT_GAP_SECONDS = 1.0
 
@@ -185,16 +185,27 @@
                     return
             except exchange.AttemptError as error:
                 self._owner._tries.note_failure(task, member, error)
-                if error.fault is health.Fault.ERROR:
-                    # Cuts and silence speak of a server, not of its version.
-                    self._owner._versions.note_answer(
-                        task, member, rollout_state.Sample(is_failed=True)
-                    )
+                self._note_failed(member, error.fault)
                 self._reason = metrics.Counter.REFUSED_BY_ENDPOINT
                 if not self._owner._tries.may_send_again(task, error.fault):
                     self._owner._answerer.give_up(task, self._reason)
                     return
 
+    def _note_failed(
+        self, member: directory.Member, fault: health.Fault
+    ) -> None:
+        """Count a failed attempt as evidence on the server's version.
+
+        A cut or a refusal speaks of the server alone.
+        """
+        if fault is health.Fault.ERROR:
+            sample = rollout_state.Sample(is_failed=True)
+        elif fault is health.Fault.SILENT:
+            sample = rollout_state.Sample(is_slow=True)
+        else:
+            return
+        self._owner._versions.note_answer(self._task, member, sample)
+
     def _choose(self, model: str) -> placement.Estimate | None:
         task = self._task
         ready = self._owner._versions.filter(
@@ -404,8 +415,10 @@
         owner = self._owner
         speed = engine_time.speed_of(task.route, self._model)
         gap_ms = self._relay.usual_gap_seconds * 1000.0
-        if gap_ms:
-            member.health.note_success(gap_ms / speed.decode_ms)
+        # A smaller model's pauses are those of the larger ones beside it.
+        is_largest = self._model in task.route.sizes[-1:]
+        pace = gap_ms / speed.decode_ms if gap_ms and is_largest else None
+        member.health.note_success(pace)
         owner._versions.note_answer(
             task, member, self._make_sample(chosen, began)
         )
--- a/packages/wagtailstream-router/wagtailstream_router/health.py
+++ b/packages/wagtailstream-router/wagtailstream_router/health.py
@@ -52,14 +52,17 @@
         """Whether the endpoint gets no work at present."""
         return time.monotonic() < self._paused_until
 
-    def note_success(self, duration_ms: float) -> None:
+    def note_success(self, duration_ms: float | None) -> None:
         """Count an answer.
 
-        :param duration_ms: how long it took.
+        :param duration_ms: how long it took; None where that says nothing
+            of the endpoint.
         """
         self._in_row.clear()
         self._pause_seconds = _FIRST_PAUSE_SECONDS
         self._bad_share *= 1.0 - _NEWEST_WEIGHT
+        if duration_ms is None:
+            return
         if self._duration_ms == 0.0:
             self._duration_ms = duration_ms
         else:
--- a/tests/router/support.py
+++ b/tests/router/support.py
@@ -185,6 +185,10 @@
         while not condition():
             await asyncio.sleep(0.005)
 
+    def has_line(self, event: str) -> bool:
+        """Return whether the log has a line."""
+        return any(name == event for name, _ in self.log.lines)
+
     async def wait_for_line(self, event: str) -> dict[str, object]:
         """Wait for a line of the log, and return its fields."""
         while True:
--- a/tests/router/test_forward_stream.py
+++ b/tests/router/test_forward_stream.py
@@ -1,6 +1,7 @@
 """Streams: event by event, resumed at a whole event, never spliced."""
 
 import asyncio
+import dataclasses
 
 from standins import platform_endpoint
 from tests.router import support
@@ -150,3 +151,42 @@
     await fleet.close()
     # Nine tenths of ten requests, of which the fleet plans to use less.
     assert 10 < endpoint.runs <= 10 + 9
+
+
+async def test_a_version_that_answers_late_is_taken_back() -> None:
+    """A slow version kept its exposure (hunt 28921732, bad-versions)."""
+    fleet = support.Fleet()
+    fleet.platform.put_configuration(support.make_configuration())
+    old = await fleet.add_endpoint("engine-1", "engine")
+    old.default = make_plan(1, 2)
+    await fleet.start()
+    for number in range(20):
+        await call_stream(fleet, identity=f"before-{number}")
+    new = await fleet.add_endpoint("engine-2", "engine", version="v2")
+    gates = [asyncio.Event() for _ in range(4)]
+    new.plans = [
+        dataclasses.replace(make_plan(1, 2), gate=gate) for gate in gates
+    ]
+    new.default = make_plan(1, 2)
+    fleet.platform.operator.put(
+        "rollout/engine",
+        b'{"service": "engine", "target": "v2", "durationS": 1000}',
+    )
+    await fleet.wait_for_line("rollout_ordered")
+    await fleet.wait_for(lambda: fleet.router.endpoint_count == 2)
+    number = 0
+    while not fleet.has_line("rollout_ended"):
+        number += 1
+        fields = support.make_stream_fields()
+        fields["X_Prefix_Hash"] = f"p{number}:200,q{number}:100"
+        await fleet.call(
+            "POST",
+            support.STREAM_PATH,
+            b"prompt",
+            identity=f"r-{number}",
+            **fields,
+        )
+    line = await fleet.wait_for_line("rollout_ended")
+    assert line["stage"] == "rolled_back"
+    assert new.runs <= 5
+    await fleet.close()
