--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -123,7 +123,7 @@
             counters,
         )
         self._probes = probe_server.ProbeServer(
-            lambda: self.is_ready, counters
+            lambda: self.is_ready, counters, self._refresh_counters
         )
         self._is_draining = False
         self._refuses = False
@@ -345,6 +345,11 @@
         self._ports[name] = sockets[0].getsockname()[1]
         return server
 
+    def _refresh_counters(self) -> None:
+        counter = metrics.Counter
+        self._counters.set(counter.CONNECTIONS_OPENED, self._pool.opened)
+        self._counters.set(counter.LOG_LINES_DROPPED, self._log.dropped)
+
     def _take_operator_change(self) -> None:
         self._current.get()
         self._rollouts.refresh()
--- a/packages/wagtailstream-router/wagtailstream_router/event_log.py
+++ b/packages/wagtailstream-router/wagtailstream_router/event_log.py
@@ -19,6 +19,11 @@
 class EventLog(abc.ABC):
     """Takes one line for each decision and each change of belief."""
 
+    @property
+    @abc.abstractmethod
+    def dropped(self) -> int:
+        """Lines that were dropped so far."""
+
     @abc.abstractmethod
     def write(self, event: str, **fields: object) -> None:
         """Write a line on a failure or on what the process believes.
@@ -42,6 +47,11 @@
     def __init__(self) -> None:
         self.lines: list[tuple[str, dict[str, object]]] = []
 
+    @property
+    def dropped(self) -> int:
+        """Lines that were dropped: none."""
+        return 0
+
     def write(self, event: str, **fields: object) -> None:
         """Keep a line."""
         self.lines.append((event, fields))
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -62,9 +62,13 @@
         :param reason: why, as counted.
         :param inputs: what decided it, for the log.
         """
+        if caller.is_started:
+            # The answer is under way and can only be cut.
+            reason = metrics.Counter.FAILED_CUT
         self._counters.count(reason)
+        is_refused = status in (429, 503) and not caller.is_started
         self._log.write(
-            "refused" if status in (429, 503) else "failed",
+            "refused" if is_refused else "failed",
             request=identity,
             status=status,
             reason=reason.value,
@@ -166,6 +170,8 @@
             self._counters.count(metrics.Counter.RETRY_DENIED)
             return False
         self._counters.count(_RETRIED[fault])
+        if task.reply.is_started:
+            self._counters.count(metrics.Counter.RESUMED)
         return True
 
     def may_send_extra(self, task: job.Job) -> bool:
--- a/packages/wagtailstream-router/wagtailstream_router/metrics.py
+++ b/packages/wagtailstream-router/wagtailstream_router/metrics.py
@@ -17,7 +17,6 @@
     REFUSED_TOO_LARGE = "refused_too_large"
     REFUSED_NO_ENDPOINT = "refused_no_endpoint"
     REFUSED_BY_ENDPOINT = "refused_by_endpoint"
-    REFUSED_BUSY = "refused_busy"
     REFUSED_DEADLINE = "refused_deadline"
     REFUSED_DRAINING = "refused_draining"
     FAILED_UNKNOWN = "failed_unknown"
@@ -68,6 +67,14 @@
         """
         self._counts[counter] += amount
 
+    def set(self, counter: Counter, value: int) -> None:
+        """Take over what another part of the process counts.
+
+        :param counter: which.
+        :param value: its present value.
+        """
+        self._counts[counter] = value
+
     def read(self, counter: Counter) -> int:
         """Return a counter's value."""
         return self._counts[counter]
--- a/packages/wagtailstream-router/wagtailstream_router/probe_server.py
+++ b/packages/wagtailstream-router/wagtailstream_router/probe_server.py
@@ -14,15 +14,18 @@
 
     :param is_ready: whether it does.
     :param counters: what the metrics path shows.
+    :param refresh: brings counters of other parts up to date.
     """
 
     def __init__(
         self,
         is_ready: collections.abc.Callable[[], bool],
         counters: metrics.Metrics,
+        refresh: collections.abc.Callable[[], None],
     ) -> None:
         self.is_ready = is_ready
         self.counters = counters
+        self.refresh = refresh
 
     def start_request(
         self, server_conn: object, request_conn: httputil.HTTPConnection
@@ -49,6 +52,7 @@
 
     def finish(self) -> None:
         if self._path == METRICS_PATH:
+            self._owner.refresh()
             self._answer(200, self._owner.counters.render().encode())
         elif self._owner.is_ready():
             self._answer(200, b"ready\n")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -7,6 +7,7 @@
 
 from wagtailstream_core import errors
 from wagtailstream_entry import responses
+from wagtailstream_router import metrics as router_metrics
 from wagtailstream_runtime import metrics
 
 DOCS = pathlib.Path(__file__).parent.parent / "docs"
@@ -39,6 +40,25 @@
     assert names == {metric.value for metric in metrics.Metric}
 
 
+def test_every_counter_of_the_router_is_documented_and_counted() -> None:
+    rows = read_rows("../OPERATIONS.md")
+    assert [row[0] for row in rows] == [
+        counter.value for counter in router_metrics.Counter
+    ]
+    sources = "".join(
+        path.read_text()
+        for folder in (PACKAGES, PACKAGES.parent / "platform")
+        for path in folder.rglob("*.py")
+    )
+    # Some are named with the module's short name beside them.
+    uncounted = [
+        counter
+        for counter in router_metrics.Counter
+        if f"ounter.{counter.name}" not in sources
+    ]
+    assert not uncounted
+
+
 @pytest.mark.parametrize("metric", list(metrics.Metric))
 def test_every_metric_is_sent(metric: metrics.Metric) -> None:
     sources = [path.read_text() for path in PACKAGES.rglob("*.py")]
