Give the entry's modules rooms: callers, filters, endpoints, versions, commands

Cause: over forty modules in one flat folder. Ruled out: a room named links, which would hide the module of that name; exchange among the callers' modules, which made a cycle. Before and after: the entry's 116 tests and the type checker pass.

--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -26,7 +26,7 @@
     signing,
     wire_pb2,
 )
-from wagtailstream_entry import authenticate
+from wagtailstream_entry.filters import authenticate
 
 REPEATS = 3
 FACTORS = (1, 2, 4)
--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -21,7 +21,7 @@
 
 from wagtailstream_agent import collector, grpc_service, runner
 from wagtailstream_core import clock, signing, tallies, wire_pb2
-from wagtailstream_entry import connection, links
+from wagtailstream_entry.endpoints import connection, links
 from wagtailstream_runtime import (
     alarm,
     auth,
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -17,32 +17,35 @@
     heartbeat_codec,
     wire_pb2,
 )
-from wagtailstream_entry import (
+from wagtailstream_entry import settings
+from wagtailstream_entry.callers import (
+    handler_base,
+    handlers,
+    open_requests,
+    responses,
+    status_report,
+)
+from wagtailstream_entry.endpoints import (
+    connection,
+    dispatch,
+    links,
+    quarantine,
+)
+from wagtailstream_entry.filters import (
     authenticate,
     climb_ladder,
-    connection,
     current,
     deadline,
-    dispatch,
-    handler_base,
-    handlers,
     limit,
-    links,
-    open_requests,
     parse_chat,
     pipeline,
-    quarantine,
-    rating,
-    responses,
     resume_session,
     run_model,
     run_service,
     sampling,
-    settings,
     settle,
-    status_report,
-    version_watch,
 )
+from wagtailstream_entry.versions import rating, version_watch
 from wagtailstream_runtime import (
     alarm,
     bill_outbox,
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' side: HTTP handlers and what they answer."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/chat_handler.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/chat_handler.py
@@ -3,12 +3,8 @@
 import orjson
 from tornado import iostream
 
-from wagtailstream_entry import (
-    exchange,
-    handler_base,
-    pipeline,
-    responses,
-)
+from wagtailstream_entry.callers import handler_base, responses
+from wagtailstream_entry.filters import exchange, pipeline
 
 # Stands for the content while the rest of an event is encoded.
 _CONTENT_MARK = "\x00"
--- a/packages/wagtailstream-entry/wagtailstream_entry/handler_base.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/handler_base.py
@@ -12,13 +12,8 @@
 from tornado import iostream, web
 
 from wagtailstream_core import errors, session
-from wagtailstream_entry import (
-    exchange,
-    open_requests,
-    pipeline,
-    responses,
-    run_model,
-)
+from wagtailstream_entry.callers import open_requests, responses
+from wagtailstream_entry.filters import exchange, pipeline, run_model
 from wagtailstream_runtime import follower, metrics
 
 STEP = "http"
--- a/packages/wagtailstream-entry/wagtailstream_entry/handlers.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/handlers.py
@@ -2,7 +2,7 @@
 
 from tornado import web
 
-from wagtailstream_entry import (
+from wagtailstream_entry.callers import (
     chat_handler,
     handler_base,
     service_handler,
--- a/packages/wagtailstream-entry/wagtailstream_entry/responses.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/responses.py
@@ -4,7 +4,7 @@
 import typing
 
 from wagtailstream_core import errors
-from wagtailstream_entry import exchange
+from wagtailstream_entry.filters import exchange
 
 OUTCOME_HEADER = "Wagtail-Outcome"
 REQUEST_ID_HEADER = "Wagtail-Request-Id"
--- a/packages/wagtailstream-entry/wagtailstream_entry/service_handler.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/service_handler.py
@@ -1,10 +1,8 @@
 """Operations of plain services."""
 
 from wagtailstream_core import work
-from wagtailstream_entry import (
-    exchange,
-    handler_base,
-)
+from wagtailstream_entry.callers import handler_base
+from wagtailstream_entry.filters import exchange
 
 
 class ServiceHandler(handler_base.BodyHandler):
--- a/packages/wagtailstream-entry/wagtailstream_entry/status_handlers.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/status_handlers.py
@@ -1,11 +1,8 @@
 """Models, probes and status."""
 
 from wagtailstream_core import errors
-from wagtailstream_entry import (
-    authenticate,
-    handler_base,
-    responses,
-)
+from wagtailstream_entry.callers import handler_base, responses
+from wagtailstream_entry.filters import authenticate
 
 
 class ModelsHandler(handler_base.Handler):
--- a/packages/wagtailstream-entry/wagtailstream_entry/status_report.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/status_report.py
@@ -4,7 +4,9 @@
 import dataclasses
 
 from wagtailstream_core import configuration, freshness
-from wagtailstream_entry import agent_link, links, responses, version_watch
+from wagtailstream_entry.callers import responses
+from wagtailstream_entry.endpoints import agent_link, links
+from wagtailstream_entry.versions import version_watch
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli.py
@@ -11,14 +11,9 @@
 import click
 
 from wagtailstream_core import errors
-from wagtailstream_entry import (
-    app,
-    cli_bundle,
-    cli_keys,
-    cli_output,
-    operations,
-    settings,
-)
+from wagtailstream_entry import app, settings
+from wagtailstream_entry.callers import operations
+from wagtailstream_entry.commands import cli_bundle, cli_keys, cli_output
 from wagtailstream_runtime import logs
 from wagtailstream_runtime import settings as platform_settings
 
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' commands."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli_bundle.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/commands/cli_bundle.py
@@ -14,10 +14,10 @@
     errors,
     records,
 )
-from wagtailstream_entry import (
+from wagtailstream_entry.callers import operations
+from wagtailstream_entry.commands import (
     cli_change,
     cli_output,
-    operations,
     operator_settings,
 )
 from wagtailstream_runtime import log_client
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli_change.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/commands/cli_change.py
@@ -9,7 +9,8 @@
 import click
 
 from wagtailstream_core import configuration, errors, records
-from wagtailstream_entry import cli_output, operations, operator_settings
+from wagtailstream_entry.callers import operations
+from wagtailstream_entry.commands import cli_output, operator_settings
 from wagtailstream_runtime import log_client
 from wagtailstream_runtime import settings as platform_settings
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli_keys.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/commands/cli_keys.py
@@ -7,7 +7,7 @@
 import click
 
 from wagtailstream_core import bundle, signing
-from wagtailstream_entry import cli_output
+from wagtailstream_entry.commands import cli_output
 
 SHARED_SECRET_BYTES = 32
 API_KEY_BYTES = 24
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Links to endpoints, and the choice among them."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/agent_link.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/agent_link.py
@@ -16,7 +16,7 @@
     wire_pb2,
     work,
 )
-from wagtailstream_entry import agent_state, connection
+from wagtailstream_entry.endpoints import agent_state, connection
 from wagtailstream_runtime import alarm, follower
 
 MAX_RUNS_PER_CONNECTION = 80
--- a/packages/wagtailstream-entry/wagtailstream_entry/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/dispatch.py
@@ -17,17 +17,16 @@
     wire_codec,
     work,
 )
-from wagtailstream_entry import (
+from wagtailstream_entry.endpoints import (
     agent_link,
     agent_state,
     connection,
-    exchange,
     hedge,
-    job,
     links,
     quarantine,
     target,
 )
+from wagtailstream_entry.filters import exchange, job
 from wagtailstream_runtime import metrics
 
 STEP = "dispatch"
--- a/packages/wagtailstream-entry/wagtailstream_entry/hedge.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/hedge.py
@@ -4,7 +4,8 @@
 import dataclasses
 
 from wagtailstream_core import clock, retries, routing
-from wagtailstream_entry import agent_link, connection, job
+from wagtailstream_entry.endpoints import agent_link, connection
+from wagtailstream_entry.filters import job
 
 MAX_MODELS = 256
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/links.py
@@ -18,7 +18,8 @@
     heartbeat_codec,
     wire_pb2,
 )
-from wagtailstream_entry import agent_link, connection, limit, link_choice
+from wagtailstream_entry.endpoints import agent_link, connection, link_choice
+from wagtailstream_entry.filters import limit
 from wagtailstream_runtime import auth, follower, instance_list
 
 FORGET_SECONDS = 30.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/target.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/target.py
@@ -4,7 +4,7 @@
 import dataclasses
 
 from wagtailstream_core import admission, bundle, configuration
-from wagtailstream_entry import agent_state
+from wagtailstream_entry.endpoints import agent_state
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/__init__.py
@@ -0,0 +1,1 @@
+"""The filters that a request passes, in a row."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/authenticate.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/authenticate.py
@@ -3,7 +3,7 @@
 import expression
 
 from wagtailstream_core import bundle, errors
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 
 STEP = "authenticate"
 MAX_KEY_CHARACTERS = 256
--- a/packages/wagtailstream-entry/wagtailstream_entry/climb_ladder.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/climb_ladder.py
@@ -5,12 +5,8 @@
 import random
 
 from wagtailstream_core import bundle, cascade, clock, configuration, versions
-from wagtailstream_entry import (
-    exchange,
-    pipeline,
-    rating,
-    version_watch,
-)
+from wagtailstream_entry.filters import exchange, pipeline
+from wagtailstream_entry.versions import rating, version_watch
 from wagtailstream_runtime import follower, metrics
 
 Runner = collections.abc.Callable[
--- a/packages/wagtailstream-entry/wagtailstream_entry/current.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/current.py
@@ -5,7 +5,7 @@
 import expression
 
 from wagtailstream_core import errors, freshness
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 
 STEP = "freshness"
 RETRY_SECONDS = 5.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/deadline.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/deadline.py
@@ -5,7 +5,7 @@
 import expression
 
 from wagtailstream_core import errors
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 
 STEP = "deadline"
 MAX_DEADLINE_SECONDS = 3600.0
--- a/packages/wagtailstream-entry/wagtailstream_entry/exchange.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/exchange.py
@@ -11,7 +11,7 @@
     session,
     work,
 )
-from wagtailstream_entry import connection
+from wagtailstream_entry.endpoints import connection
 
 OptionalSession = session.Session | None
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/job.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/job.py
@@ -3,7 +3,8 @@
 import collections.abc
 
 from wagtailstream_core import admission, assembly, clock, errors, work
-from wagtailstream_entry import exchange, target
+from wagtailstream_entry.endpoints import target
+from wagtailstream_entry.filters import exchange
 
 WorkMaker = collections.abc.Callable[[int], work.ModelWork | work.ServiceWork]
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/limit.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/limit.py
@@ -5,7 +5,7 @@
 import expression
 
 from wagtailstream_core import bundle, clock, demand, errors, limits
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 
 STEP = "limit"
 MIN_REPORTED_RATE = 0.05
--- a/packages/wagtailstream-entry/wagtailstream_entry/parse_chat.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/parse_chat.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from wagtailstream_core import errors
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 
 STEP = "parse"
 DEFAULT_MAX_TOKENS = 256
--- a/packages/wagtailstream-entry/wagtailstream_entry/pipeline.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/pipeline.py
@@ -6,7 +6,7 @@
 import expression
 
 from wagtailstream_core import errors
-from wagtailstream_entry import exchange
+from wagtailstream_entry.filters import exchange
 
 Verdict = expression.Result[None, errors.Refusal]
 PASSED: Verdict = expression.Ok(None)
--- a/packages/wagtailstream-entry/wagtailstream_entry/resume_session.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/resume_session.py
@@ -5,7 +5,7 @@
 import expression
 
 from wagtailstream_core import errors, session
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 
 
 class ResumeSession(pipeline.Filter):
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_model.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/run_model.py
@@ -13,15 +13,14 @@
     versions,
     work,
 )
-from wagtailstream_entry import (
+from wagtailstream_entry.endpoints import dispatch, target
+from wagtailstream_entry.filters import (
     climb_ladder,
-    dispatch,
     exchange,
     pipeline,
     sampling,
-    target,
-    version_watch,
 )
+from wagtailstream_entry.versions import version_watch
 from wagtailstream_runtime import follower
 
 STEP = "plan"
--- a/packages/wagtailstream-entry/wagtailstream_entry/run_service.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/run_service.py
@@ -15,14 +15,13 @@
     wire_pb2,
     work,
 )
-from wagtailstream_entry import (
+from wagtailstream_entry.endpoints import (
     agent_link,
     connection,
     dispatch,
-    exchange,
-    pipeline,
     target,
 )
+from wagtailstream_entry.filters import exchange, pipeline
 from wagtailstream_runtime import follower
 
 STEP = "service"
--- a/packages/wagtailstream-entry/wagtailstream_entry/sampling.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/sampling.py
@@ -8,7 +8,8 @@
 import time
 
 from wagtailstream_core import cascade, configuration
-from wagtailstream_entry import exchange, rating, version_watch
+from wagtailstream_entry.filters import exchange
+from wagtailstream_entry.versions import rating, version_watch
 from wagtailstream_runtime import follower, metrics
 
 MAX_ANSWER_BYTES = 65536
--- a/packages/wagtailstream-entry/wagtailstream_entry/settle.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/filters/settle.py
@@ -5,7 +5,7 @@
 import expression
 
 from wagtailstream_core import billing, clock, errors
-from wagtailstream_entry import exchange, pipeline
+from wagtailstream_entry.filters import exchange, pipeline
 from wagtailstream_runtime import bill_outbox
 
 STEP = "settle"
--- /dev/null
+++ b/packages/wagtailstream-entry/wagtailstream_entry/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Which versions get work: ratings and the watch on bad ones."""
--- a/packages/wagtailstream-entry/wagtailstream_entry/rating.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/versions/rating.py
@@ -8,7 +8,7 @@
 from tornado import httpclient, simple_httpclient
 
 from wagtailstream_core import cascade
-from wagtailstream_entry import exchange
+from wagtailstream_entry.filters import exchange
 
 TIMEOUT_SECONDS = 1.0
 _MAX_CLIENTS = 256
--- a/tests/core/test_fuzz.py
+++ b/tests/core/test_fuzz.py
@@ -20,7 +20,7 @@
     signing,
     snapshots,
 )
-from wagtailstream_entry import deadline, parse_chat
+from wagtailstream_entry.filters import deadline, parse_chat
 
 KEYRING = signing.Keyring({"op": b"1" * 32}, {"fleet": b"2" * 32})
 SESSION_KEYS = session.SessionKeys("one", {"one": b"1" * 32})
--- a/tests/entry/test_authenticate.py
+++ b/tests/entry/test_authenticate.py
@@ -3,7 +3,7 @@
 import pytest
 
 from wagtailstream_core import bundle
-from wagtailstream_entry import authenticate
+from wagtailstream_entry.filters import authenticate
 
 KEYS = ("key-a", "key-b", "key-c")
 
--- a/tests/entry/test_cli.py
+++ b/tests/entry/test_cli.py
@@ -6,7 +6,8 @@
 import click.testing
 import pytest
 
-from wagtailstream_entry import cli, cli_output
+from wagtailstream_entry import cli
+from wagtailstream_entry.commands import cli_output
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
 SCHEMA = pathlib.Path(__file__).parents[2] / "docs" / "bundle.schema.json"
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -19,13 +19,13 @@
     retries,
     work,
 )
-from wagtailstream_entry import (
+from wagtailstream_entry.endpoints import (
     agent_state,
     connection,
     dispatch,
-    exchange,
     target,
 )
+from wagtailstream_entry.filters import exchange
 from wagtailstream_runtime import metrics
 
 VERSION = configuration.ModelVersion("m", "1")
--- a/tests/entry/test_operations.py
+++ b/tests/entry/test_operations.py
@@ -5,7 +5,7 @@
 from tests.core import support as core_support
 from tests.runtime import support
 from wagtailstream_core import clock, configuration, records, snapshots
-from wagtailstream_entry import operations
+from wagtailstream_entry.callers import operations
 
 TRIES = 5
 
--- a/tests/integration/configuration_support.py
+++ b/tests/integration/configuration_support.py
@@ -19,7 +19,9 @@
     records,
     work,
 )
-from wagtailstream_entry import connection, operations, operator_settings
+from wagtailstream_entry.callers import operations
+from wagtailstream_entry.commands import operator_settings
+from wagtailstream_entry.endpoints import connection
 from wagtailstream_runtime import factory, log_client, settings
 
 # Longer than an instance trusts a configuration without news of the log.
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -13,7 +13,8 @@
 from standins import fleet
 from tests.integration import support
 from wagtailstream_core import records, signing, wire_grpc, wire_pb2
-from wagtailstream_entry import cli_output, connection
+from wagtailstream_entry.commands import cli_output
+from wagtailstream_entry.endpoints import connection
 from wagtailstream_runtime import auth
 
 
--- a/tests/integration/test_tls.py
+++ b/tests/integration/test_tls.py
@@ -10,7 +10,7 @@
 from standins import fleet
 from tests.integration import certificates, support
 from wagtailstream_core import wire_grpc, wire_pb2
-from wagtailstream_entry import connection
+from wagtailstream_entry.endpoints import connection
 
 
 async def call_plainly(address: str) -> None:
--- a/tests/runtime/test_settings.py
+++ b/tests/runtime/test_settings.py
@@ -8,8 +8,8 @@
 
 from wagtailstream_agent import settings as agent_settings
 from wagtailstream_core import errors
-from wagtailstream_entry import operator_settings
 from wagtailstream_entry import settings as entry_settings
+from wagtailstream_entry.commands import operator_settings
 from wagtailstream_runtime import settings
 
 EXAMPLES = pathlib.Path(__file__).parents[2] / "examples"
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,7 @@
 import pytest
 
 from wagtailstream_core import errors
-from wagtailstream_entry import responses
+from wagtailstream_entry.callers import responses
 from wagtailstream_router import metrics as router_metrics
 from wagtailstream_runtime import metrics
 
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -62,9 +62,11 @@
     """
     violations = []
     for path in _list_sources(root):
-        forbidden = FORBIDDEN.get(path.parent.name, set())
-        for package in sorted(imported_packages(path.read_text()) & forbidden):
-            violations.append(f"{path.relative_to(root)}: imports {package}")
+        parts = path.relative_to(root).parts
+        package = next((part for part in parts if part in FORBIDDEN), "")
+        forbidden = FORBIDDEN.get(package, set())
+        for name in sorted(imported_packages(path.read_text()) & forbidden):
+            violations.append(f"{path.relative_to(root)}: imports {name}")
     return violations
 
 
