Add a fault soak of the real router, and mend a race of a test

Cause: nothing ran the router as processes under overlapping signals, a failing store and failing endpoints. The soak checks what callers and endpoints see: whole answers, at most once, true refusals, recovery. test_shutdown asked a draining entry once more after the drain was seen; by then its streams could have ended (one failure in a run beside five busy processes); it now checks the answer that showed the drain, as strictly.

Ruled out: the router, for two hangs of the soak's first runs (two restarts of one process waited for each other's).

--- a/standins/platform_caller.py
+++ b/standins/platform_caller.py
@@ -85,9 +85,9 @@
         self._writer.close()
 
 
-async def connect(port: int) -> CallerConnection:
+async def connect(port: int, host: str = "127.0.0.1") -> CallerConnection:
     """Open a connection to a router on loopback."""
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(host, port)
     return CallerConnection(reader, writer)
 
 
@@ -97,9 +97,10 @@
     target: str,
     headers: list[tuple[str, str]],
     body: bytes = b"",
+    host: str = "127.0.0.1",
 ) -> Reply:
     """Send one request and return its answer."""
-    connection = await connect(port)
+    connection = await connect(port, host)
     try:
         return await connection.call(method, target, headers, body)
     finally:
--- /dev/null
+++ b/standins/soak.py
@@ -0,0 +1,496 @@
+"""A fault soak: real routers, a store and endpoints that fail, by seed.
+
+    python -m standins.soak --seed 1 --seeds 50 --seconds 8
+
+Routers run as processes on loopback addresses; signals stop, pause, kill and
+restart them, and store and endpoints misbehave, in series that overlap. What
+callers and endpoints see is checked while it runs.
+"""
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import os
+import pathlib
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import click
+import orjson
+
+from standins import platform_caller, platform_endpoint, platform_store
+from wagtailstream_adapter import names
+
+ROUTERS = 3
+ENGINES = 3
+PLAIN = 3
+CALLERS = 8
+FIRST_ADDRESS = 11
+HOST = "soak.test"
+KEY = "soak-key"
+EVENTS = 8
+# A router is ready within this after its start, also on a busy machine.
+START_LIMIT_SECONDS = 30.0
+# Of the requests after the last fault, the share that must be answered.
+RECOVERED_SHARE = 0.75
+RECOVERY_SECONDS = 2.0
+STREAM = platform_endpoint.Plan(
+    pieces=platform_endpoint.make_events(range(1, EVENTS + 1)),
+    framing=platform_endpoint.Framing.CHUNKED,
+    headers=((names.CONFIDENCE, "95"),),
+)
+STREAM_BODY = b"".join(STREAM.pieces)
+PLAIN_BODY = b"".join(platform_endpoint.Plan().pieces)
+
+NODE_FILE = """
+nodeName = "{address}"
+ipAddress = "{address}"
+zone = "zone-1"
+internalPortRange = [{gossip}, {gossip}]
+seeds = [{seeds}]
+[listen]
+front = "{address}:{callers}"
+ready = "{address}:{ready}"
+[bounds]
+gracePeriodS = 4
+drainTimeoutMs = 2000
+exposureShare = 0.15
+sessionS = 5
+retryBudgetRatio = 0.9
+retryWindowS = 10
+retryBudgetSlack = 200
+[platform]
+address = "{store}"
+"""
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a run saw.
+
+    :param broken: promises that were broken, a line each.
+    :param statuses: how requests ended, by status; 0 for no answer.
+    :param actions: the faults in order.
+    """
+
+    broken: list[str] = dataclasses.field(default_factory=list)
+    statuses: collections.Counter[int] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    actions: list[str] = dataclasses.field(default_factory=list)
+    recovered: list[bool] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass(frozen=True)
+class Ports:
+    """The ports of every router; each has a loopback address of its own."""
+
+    callers: int
+    ready: int
+    gossip: int
+
+
+def pick_ports() -> Ports:
+    """Return ports that the system picks."""
+    with contextlib.ExitStack() as stack:
+        numbers = []
+        for _ in dataclasses.fields(Ports):
+            probe = stack.enter_context(socket.socket())
+            probe.bind(("127.0.0.1", 0))
+            numbers.append(probe.getsockname()[1])
+        return Ports(*numbers)
+
+
+class RouterProcess:
+    """One router as a process of its own.
+
+    :param address: its loopback address.
+    :param ports: the ports that it opens there.
+    :param folder: where settings and log go.
+    """
+
+    def __init__(
+        self, address: str, ports: Ports, folder: pathlib.Path
+    ) -> None:
+        self.address = address
+        self._ports = ports
+        self.lock = asyncio.Lock()
+        self._folder = folder
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self, store_address: str, seeds: list[str]) -> None:
+        """Write the settings and start the process."""
+        path = self._folder / f"{self.address}.toml"
+        quoted = ", ".join(f'"{seed}:1"' for seed in seeds)
+        path.write_text(
+            NODE_FILE.format(
+                address=self.address,
+                gossip=self._ports.gossip,
+                callers=self._ports.callers,
+                ready=self._ports.ready,
+                seeds=quoted,
+                store=store_address,
+            )
+        )
+        with (self._folder / f"{self.address}.log").open("ab") as log:
+            self._process = subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "wagtailstream_adapter",
+                    "entry",
+                    "--settings",
+                    str(path),
+                    "--policy",
+                    "deploy/router.yaml",
+                ],
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    async def wait(self) -> None:
+        """Wait for the process to end."""
+        while self._process is not None and self._process.poll() is None:
+            await asyncio.sleep(0.02)
+
+
+class Soak:
+    """One seeded run.
+
+    :param seed: decides faults and requests.
+    :param seconds: how long faults come.
+    :param folder: where settings and logs go.
+    """
+
+    def __init__(
+        self, seed: int, seconds: float, folder: pathlib.Path
+    ) -> None:
+        self.outcome = Outcome()
+        self._random = random.Random(seed)
+        self._seconds = seconds
+        self._store = platform_store.PlatformStore()
+        self._endpoints: list[platform_endpoint.PlatformEndpoint] = []
+        addresses = [f"127.0.0.{FIRST_ADDRESS + n}" for n in range(ROUTERS)]
+        self._ports = pick_ports()
+        self._routers = [
+            RouterProcess(one, self._ports, folder) for one in addresses
+        ]
+        self._addresses = addresses
+        self._refused: set[str] = set()
+        self._unsafe: set[str] = set()
+        self._sent = 0
+        self._is_calm = False
+        self._is_over = False
+
+    async def run(self) -> Outcome:
+        """Play the run and return what it saw."""
+        try:
+            await self._start()
+            callers = [
+                asyncio.ensure_future(self._call_often(number))
+                for number in range(CALLERS)
+            ]
+            await self._inject()
+            self._is_calm = True
+            await asyncio.sleep(RECOVERY_SECONDS)
+            self._is_over = True
+            await asyncio.gather(*callers)
+        finally:
+            await self._stop()
+        self._check_runs()
+        self._check_recovery()
+        return self.outcome
+
+    async def _start(self) -> None:
+        self._store.start()
+        for number in range(ENGINES + PLAIN):
+            service = "engine" if number < ENGINES else "plain"
+            await self._add_endpoint(f"{service}-{number}", service)
+        self._put_configuration(1)
+        for one in self._routers:
+            one.start(self._store.address, self._addresses)
+        async with asyncio.timeout(START_LIMIT_SECONDS):
+            for address in self._addresses:
+                await self._wait_ready(address)
+
+    async def _stop(self) -> None:
+        for one in self._routers:
+            one.send(signal.SIGCONT)
+            one.send(signal.SIGKILL)
+        for one in self._routers:
+            await one.wait()
+        for endpoint in self._endpoints:
+            await endpoint.close()
+        await self._store.close()
+
+    async def _wait_ready(self, address: str) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(
+                    address, self._ports.ready
+                )
+                writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b"200" in line:
+                    return
+            await asyncio.sleep(0.05)
+
+    async def _add_endpoint(self, identity: str, service: str) -> None:
+        endpoint = platform_endpoint.PlatformEndpoint(identity)
+        endpoint.default = (
+            STREAM if service == "engine" else platform_endpoint.Plan()
+        )
+        await endpoint.start()
+        self._endpoints.append(endpoint)
+        self._put_entry(endpoint, service, "ready")
+
+    def _put_entry(
+        self,
+        endpoint: platform_endpoint.PlatformEndpoint,
+        service: str,
+        state: str,
+    ) -> None:
+        entry = {
+            "service": service,
+            "address": endpoint.address,
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+        self._store.put(
+            names.ENDPOINTS_TOPIC, endpoint.identity, orjson.dumps(entry)
+        )
+
+    def _put_configuration(self, version: int) -> None:
+        kinds = (("safe", 2), ("unsafe", 1), ("streaming", 3))
+        routes = [
+            {
+                "name": kind,
+                "host": HOST,
+                "pathPrefix": f"/{kind}/",
+                "kind": kind,
+                "service": "engine" if kind == "streaming" else "plain",
+                "timeoutMs": 4000,
+                "targetLatencyMs": 1000,
+                "maxAttempts": attempts,
+                "streamResumption": kind == "streaming",
+                "sizes": ["small", "large"] if kind == "streaming" else [],
+                "targetGapMs": 400,
+            }
+            for kind, attempts in kinds
+        ]
+        table = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "plain"}, {"name": "engine"}],
+            "tenants": [{"name": "t", "apiKeys": [KEY]}],
+        }
+        self._store.put(names.OPERATOR_TOPIC, "config", orjson.dumps(table))
+
+    async def _inject(self) -> None:
+        """Start faults in series that overlap, until the time is over."""
+        running: set[asyncio.Task[None]] = set()
+        deadline = time.monotonic() + self._seconds
+        kinds = [
+            self._pause_router,
+            self._kill_router,
+            self._stop_router,
+            self._fail_store,
+            self._fail_endpoint,
+            self._fail_endpoint,
+            self._drain_endpoint,
+            self._change_configuration,
+            self._compact,
+        ]
+        while time.monotonic() < deadline:
+            action = self._random.choice(kinds)
+            self.outcome.actions.append(action.__name__.strip("_"))
+            running.add(asyncio.ensure_future(action()))
+            await asyncio.sleep(self._random.uniform(0.1, 0.6))
+        await asyncio.gather(*running)
+        self._store.fault = platform_store.Fault.NONE
+        for address in self._addresses:
+            async with asyncio.timeout(START_LIMIT_SECONDS):
+                await self._wait_ready(address)
+
+    async def _pause_router(self) -> None:
+        one = self._random.choice(self._routers)
+        one.send(signal.SIGSTOP)
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        one.send(signal.SIGCONT)
+
+    async def _kill_router(self) -> None:
+        await self._restart(signal.SIGKILL)
+
+    async def _stop_router(self) -> None:
+        await self._restart(signal.SIGTERM)
+
+    async def _restart(self, number: signal.Signals) -> None:
+        one = self._random.choice(self._routers)
+        async with one.lock:
+            one.send(signal.SIGCONT)
+            one.send(number)
+            await one.wait()
+            one.start(self._store.address, self._addresses)
+
+    async def _fail_store(self) -> None:
+        self._store.fault = self._random.choice(
+            [
+                platform_store.Fault.BUSY,
+                platform_store.Fault.SILENT,
+                platform_store.Fault.LOST,
+            ]
+        )
+        await asyncio.sleep(self._random.uniform(0.3, 1.5))
+        self._store.fault = platform_store.Fault.NONE
+
+    async def _fail_endpoint(self) -> None:
+        """Let an endpoint spoil its next few answers."""
+        endpoint = self._random.choice(self._endpoints)
+        plan = endpoint.default
+        pieces = plan.pieces[: self._random.randint(0, len(plan.pieces))]
+        end = self._random.choice(
+            [platform_endpoint.End.CUT, platform_endpoint.End.SILENT]
+        )
+        spoiled = [
+            dataclasses.replace(plan, pieces=pieces, end=end),
+            dataclasses.replace(plan, answers=False),
+            dataclasses.replace(plan, end=platform_endpoint.End.EXTRA),
+            dataclasses.replace(plan, echo="another"),
+            dataclasses.replace(plan, is_signed=False),
+            platform_endpoint.Plan(503, is_not_run=True, is_signed=False),
+        ]
+        for _ in range(self._random.randint(1, 4)):
+            endpoint.plans.append(self._random.choice(spoiled))
+
+    async def _drain_endpoint(self) -> None:
+        endpoint = self._random.choice(self._endpoints)
+        service = endpoint.identity.partition("-")[0]
+        self._put_entry(endpoint, service, "draining")
+        await asyncio.sleep(self._random.uniform(0.5, 2.0))
+        self._put_entry(endpoint, service, "ready")
+
+    async def _change_configuration(self) -> None:
+        topic = self._store.topic(names.OPERATOR_TOPIC)
+        self._put_configuration(topic.end + 1)
+
+    async def _compact(self) -> None:
+        self._store.compact(names.ENDPOINTS_TOPIC)
+        self._store.compact(names.OPERATOR_TOPIC)
+
+    async def _call_often(self, number: int) -> None:
+        while not self._is_over:
+            self._sent += 1
+            kind = self._random.choice(["safe", "unsafe", "streaming"])
+            await self._call(f"{number}-{self._sent}", kind)
+            await asyncio.sleep(0.02)
+
+    async def _call(self, identity: str, kind: str) -> None:
+        if kind == "unsafe":
+            self._unsafe.add(identity)
+        is_calm = self._is_calm
+        fields = [
+            ("Host", HOST),
+            (names.REQUEST_ID, identity),
+            (names.DEADLINE_MS, "3000"),
+            (names.CREDENTIAL, KEY),
+            (names.MODEL, "*"),
+            (names.TOKENS, "300,40"),
+            (names.PROMPT_PARTS, f"aa:200,{identity}:100"),
+        ]
+        method = "GET" if kind == "safe" else "POST"
+        reply = platform_caller.Reply(0, {}, b"", False)
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(6.0):
+                reply = await platform_caller.call(
+                    self._ports.callers,
+                    method,
+                    f"/{kind}/x",
+                    fields,
+                    b"" if kind == "safe" else b"body",
+                    self._random.choice(self._addresses),
+                )
+        self.outcome.statuses[reply.status] += 1
+        if is_calm:
+            self.outcome.recovered.append(reply.status == 200)
+        self._check_reply(identity, kind, reply)
+
+    def _check_reply(
+        self, identity: str, kind: str, reply: platform_caller.Reply
+    ) -> None:
+        if reply.status in (429, 503):
+            self._refused.add(identity)
+        if reply.status in (400, 401, 403, 404, 413):
+            self._break(f"{identity}: {reply.status} for a proper request")
+        if reply.status != 200 or not reply.is_complete:
+            return
+        expected = STREAM_BODY if kind == "streaming" else PLAIN_BODY
+        if reply.body != expected:
+            self._break(f"{identity}: not the whole answer: {reply.body!r}")
+        if names.SIGNATURE.lower() not in reply.headers:
+            self._break(f"{identity}: success without a signature")
+
+    def _check_runs(self) -> None:
+        runs: collections.Counter[str] = collections.Counter()
+        for endpoint in self._endpoints:
+            for arrival in endpoint.arrivals:
+                runs[arrival.headers.get(names.REQUEST_ID.lower(), "")] += 1
+        for identity in self._unsafe:
+            if runs[identity] > 1:
+                self._break(f"{identity}: ran {runs[identity]} times")
+            if identity in self._refused and runs[identity]:
+                self._break(f"{identity}: refused as not run, and ran")
+
+    def _check_recovery(self) -> None:
+        recovered = self.outcome.recovered
+        share = sum(recovered) / max(1, len(recovered))
+        if share < RECOVERED_SHARE:
+            self._break(f"only {share:.2f} answered after the last fault")
+
+    def _break(self, line: str) -> None:
+        self.outcome.broken.append(line)
+
+
+def play(seed: int, seconds: float, folder: pathlib.Path) -> Outcome:
+    """Play one seed.
+
+    :param folder: where settings and logs go.
+    """
+    return asyncio.run(Soak(seed, seconds, folder).run())
+
+
+@click.command()
+@click.option("--seed", default=1, help="The first seed.")
+@click.option("--seeds", default=1, help="How many seeds.")
+@click.option("--seconds", default=8.0, help="How long faults come.")
+def main(seed: int, seeds: int, seconds: float) -> None:
+    """Play seeds one after the other; logs of failed ones stay."""
+    failed = 0
+    for one in range(seed, seed + seeds):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{one}-"))
+        outcome = play(one, seconds, folder)
+        statuses = dict(sorted(outcome.statuses.items()))
+        click.echo(f"seed {one}: {len(outcome.actions)} faults, {statuses}")
+        for line in outcome.broken:
+            click.echo(f"  BROKEN {line} (logs in {folder})")
+        failed += bool(outcome.broken)
+    click.echo(f"{seeds - failed} passed, {failed} failed")
+    sys.exit(os.EX_OK if not failed else 1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/integration/test_shutdown.py
+++ b/tests/integration/test_shutdown.py
@@ -100,12 +100,18 @@
     slow_down(started)
     entry = started.entries[0]
     futures = begin(started, PROMPTS, [entry], is_stream)
+    asked: list[support.Answer] = []
+
+    def is_draining() -> bool:
+        asked.append(support.chat(entry, "Draft one more."))
+        return asked[-1].code == "draining"
+
     for _ in range(signals):
         entry.terminate()
-        started.wait_until(
-            lambda: support.chat(entry, "x").code == "draining", "no drain"
-        )
-    refused = support.chat(entry, "Draft one more.")
+        started.wait_until(is_draining, "no drain")
+    # The answer that showed the drain: by a further request's time the
+    # streams, and with them the process, may have ended.
+    refused = asked[-1]
     assert (refused.code, refused.outcome) == ("draining", "not-run")
     check_whole_and_billed(started, collect(futures), uncut)
     assert entry.wait() == 0
