--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -11,6 +11,7 @@
 
 from wagtailstream_router import (
     caller_server,
+    conductor,
     current,
     directory,
     endpoint_link,
@@ -108,7 +109,7 @@
             settings.bounds.session_seconds,
             log,
         )
-        self._conductor = rollout.Conductor(
+        self._conductor = conductor.Conductor(
             topics.status, self._rollouts, records, log
         )
         self._warm = warm_prompts.WarmPrompts()
@@ -243,28 +244,22 @@
         )
 
     def _list_copies(self) -> tuple[peer_news.CopyNews, ...]:
-        operator = self._operator.copy
-        entries = self._entries.copy
-        copies = []
-        if operator.is_loaded:
-            copies.append(
-                peer_news.CopyNews(
-                    self._operator.topic_name,
-                    operator.end,
-                    operator.end,
-                    operator.age(),
-                )
-            )
-        if entries.is_loaded:
-            copies.append(
-                peer_news.CopyNews(
-                    self._entries.topic_name,
-                    entries.end,
-                    self._members.changed_end,
-                    entries.age(),
-                )
+        operator = self._operator
+        entries = self._entries
+        ends = {
+            operator.topic_name: operator.copy.end,
+            entries.topic_name: self._members.changed_end,
+        }
+        return tuple(
+            peer_news.CopyNews(
+                one.topic_name,
+                one.copy.end,
+                ends[one.topic_name],
+                one.copy.age(),
             )
-        return tuple(copies)
+            for one in (operator, entries)
+            if one.copy.is_loaded
+        )
 
     def _take_news(self, news: peer_news.PeerNews | None) -> None:
         """Take over the peers' loads and what they know of roll-outs."""
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -8,13 +8,11 @@
 
 from wagtailstream_router import (
     directory,
-    errors,
     event_log,
     job,
     peer_news,
     replica,
     rollout_state,
-    store,
     wire,
 )
 
@@ -331,83 +329,5 @@
         )
 
 
-class Conductor:
-    """Writes the roll-outs' status for the operator.
-
-    Every process may write; the topic's end is the condition, so that of two
-    writers one loses and takes over what the other wrote.
-
-    :param topic: where the operator reads.
-    :param rollouts: what is decided.
-    :param codec: encodes the status.
-    """
-
-    def __init__(
-        self,
-        topic: store.Topic,
-        rollouts: Rollouts,
-        codec: wire.RecordCodec,
-        log: event_log.EventLog,
-    ) -> None:
-        self._topic = topic
-        self._rollouts = rollouts
-        self._codec = codec
-        self._log = log
-
-    async def step(self) -> None:
-        """Write what is decided and not yet written."""
-        self._rollouts.refresh()
-        for progress in list(self._rollouts.progress.values()):
-            self._rollouts.judge(progress)
-            if progress.is_due:
-                await self._write(progress)
-
-    async def _write(self, progress: Progress) -> None:
-        """Write a status.
-
-        :raises errors.StoreError: the store gave no usable answer.
-        """
-        page = await self._topic.read_newest()
-        key = ORDER_KEY_PREFIX + progress.order.service
-        for record in page.records:
-            if record.key == key and record.value is not None:
-                self._adopt(progress, record.value)
-        if not progress.is_due:
-            return
-        stage = progress.stage
-        value = self._codec.encode_status(progress.status)
-        try:
-            await self._topic.append(key, value, page.next_offset)
-        except errors.StoreConflictError:
-            # Another process was first; the next step reads what it wrote.
-            return
-        self._note_written(progress, stage)
-
-    def _adopt(self, progress: Progress, value: bytes) -> None:
-        try:
-            status = self._codec.decode_status(value)
-        except ValueError as error:
-            self._log.write("status_ignored", detail=str(error))
-            return
-        if status.order_offset != progress.order_offset:
-            return
-        self._rollouts.take_status(status)
-        if status.stage is progress.stage:
-            self._note_written(progress, status.stage)
-
-    def _note_written(
-        self, progress: Progress, stage: rollout_state.Stage
-    ) -> None:
-        progress.is_announced = True
-        if stage is progress.stage:
-            progress.is_written = stage is not rollout_state.Stage.RUNNING
-            self._log.write(
-                "rollout_written",
-                service=progress.order.service,
-                target=progress.order.target,
-                stage=stage.value,
-            )
-
-
 def _rank(version: str, member: directory.Member) -> int:
     return xxhash.xxh32_intdigest(f"{version}|{member.identity}".encode())
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -9,6 +9,7 @@
 from tests.router import support
 from wagtailstream_adapter import records
 from wagtailstream_router import (
+    conductor,
     directory,
     errors,
     event_log,
@@ -152,8 +153,8 @@
     assert progress.stage is rollout_state.Stage.RUNNING
 
 
-def make_conductor(world: World, topic: store.Topic) -> rollout.Conductor:
-    return rollout.Conductor(
+def make_conductor(world: World, topic: store.Topic) -> conductor.Conductor:
+    return conductor.Conductor(
         topic, world.rollouts, CODEC, event_log.MemoryEventLog()
     )
 
@@ -192,9 +193,9 @@
 async def test_a_store_that_is_away_delays_the_status(world: World) -> None:
     topic = store.MemoryTopic("status")
     topic.fault = errors.StoreError("append", "status", "away")
-    conductor = make_conductor(world, topic)
+    one = make_conductor(world, topic)
     with pytest.raises(errors.StoreError):
-        await conductor.step()
+        await one.step()
     topic.fault = None
-    await conductor.step()
+    await one.step()
     assert await read_stage(topic) is rollout_state.Stage.RUNNING
