--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 import socket
@@ -26,9 +27,9 @@
     gossip,
     metrics,
     node,
+    page_server,
     peer_copy,
     peer_news,
-    probe_server,
     replica,
     reply,
     request,
@@ -44,6 +45,7 @@
 PRUNE_SECONDS = 0.5
 # Of the grace period, the part after which open requests are given up.
 GRACE_SHARE = 0.87
+METRICS_PATH = "/metrics"
 # Longer heads than any limit of the configuration are not read at all.
 MAX_HEADER_BYTES = 65536
 
@@ -123,9 +125,7 @@
             log,
             counters,
         )
-        self._probes = probe_server.ProbeServer(
-            lambda: self.is_ready, counters, self._refresh_counters
-        )
+        self._probes = page_server.PageServer(self._make_probe_page)
         self._is_draining = False
         self._refuses = False
         self._stop = asyncio.Event()
@@ -283,11 +283,11 @@
             ),
             self._listen("ready", self._probes, self._settings.ready_address),
         ]
-        copies = peer_copy.CopyServer(
-            {
-                one.topic_name: one.copy
-                for one in (self._operator, self._entries)
-            }
+        by_topic = {
+            one.topic_name: one.copy for one in (self._operator, self._entries)
+        }
+        copies = page_server.PageServer(
+            functools.partial(peer_copy.make_page, by_topic)
         )
         servers.append(
             self._listen("copies", copies, self._settings.gossip_address)
@@ -340,6 +340,14 @@
         self._ports[name] = sockets[0].getsockname()[1]
         return server
 
+    def _make_probe_page(self, path: str) -> page_server.Page:
+        if path == METRICS_PATH:
+            self._refresh_counters()
+            return page_server.Page(200, self._counters.render().encode())
+        if self.is_ready:
+            return page_server.Page(200, b"ready\n")
+        return page_server.Page(503, b"not ready\n")
+
     def _refresh_counters(self) -> None:
         counter = metrics.Counter
         self._counters.set(counter.CONNECTIONS_OPENED, self._pool.opened)
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -164,6 +164,17 @@
             return None
         raise errors.BrokenAnswerError("read body", self._address, "cut")
 
+    async def read_answer(self) -> tuple[int, bytes]:
+        """Return status and body of a whole answer.
+
+        :raises errors.BrokenAnswerError: it is missing or cut.
+        """
+        head = await self.read_head()
+        pieces = []
+        while (piece := await self.read_piece()) is not None:
+            pieces.append(piece)
+        return head.status, b"".join(pieces)
+
     def _end_answer(self) -> None:
         extra, _ = self._framing.trailing_data
         if extra or self._framing.our_state is not h11.DONE:
--- a/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
@@ -6,13 +6,13 @@
 import random
 
 import orjson
-from tornado import httputil
 
 from wagtailstream_router import (
     endpoint_link,
     errors,
     follower,
     gossip,
+    page_server,
     replica,
     store,
     wire,
@@ -69,13 +69,10 @@
         try:
             fields = [("Host", self._address)]
             link.send("GET", PATH_PREFIX + self._name, fields, b"")
-            head = await link.read_head()
-            pieces = []
-            while (piece := await link.read_piece()) is not None:
-                pieces.append(piece)
-            if head.status != 200:
-                raise ValueError(f"status {head.status}")
-            return b"".join(pieces)
+            status, body = await link.read_answer()
+            if status != 200:
+                raise ValueError(f"status {status}")
+            return body
         finally:
             self._pool.give_back(link)
 
@@ -162,47 +159,15 @@
         self._pool.close()
 
 
-class CopyServer(httputil.HTTPServerConnectionDelegate):
-    """Serves this instance's copies to peers.
+def make_page(
+    copies: collections.abc.Mapping[str, replica.Replica], path: str
+) -> page_server.Page:
+    """Return the page that holds a copy, for peers.
 
     :param copies: the copies by topic.
+    :param path: names the topic.
     """
-
-    def __init__(
-        self, copies: collections.abc.Mapping[str, replica.Replica]
-    ) -> None:
-        self.copies = copies
-
-    def start_request(
-        self, server_conn: object, request_conn: httputil.HTTPConnection
-    ) -> httputil.HTTPMessageDelegate:
-        """Take the next request of a connection."""
-        return _CopyReader(self, request_conn)
-
-
-class _CopyReader(httputil.HTTPMessageDelegate):
-    def __init__(
-        self, owner: CopyServer, connection: httputil.HTTPConnection
-    ) -> None:
-        self._owner = owner
-        self._connection = connection
-        self._path = ""
-
-    def headers_received(
-        self,
-        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
-        headers: httputil.HTTPHeaders,
-    ) -> None:
-        if isinstance(start_line, httputil.RequestStartLine):
-            self._path = start_line.path
-
-    def finish(self) -> None:
-        copy = self._owner.copies.get(self._path.removeprefix(PATH_PREFIX))
-        is_known = copy is not None and copy.is_loaded
-        body = encode(copy) if copy is not None and is_known else b""
-        headers = httputil.HTTPHeaders({"Content-Length": str(len(body))})
-        line = httputil.ResponseStartLine(
-            "HTTP/1.1", 200 if is_known else 404, ""
-        )
-        self._connection.write_headers(line, headers, body)
-        self._connection.finish()
+    copy = copies.get(path.removeprefix(PATH_PREFIX))
+    if copy is None or not copy.is_loaded:
+        return page_server.Page(404, b"")
+    return page_server.Page(200, encode(copy))
