Remove what nothing uses, and say that SIGHUP keeps the settings

Cause: a read of the whole as a newcomer: five names without a use, a parameter that was always False, and a line "reloaded" where nothing was read again.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -364,7 +364,9 @@
             self._gossip.send(is_urgent=True)
 
     def _note_hangup(self) -> None:
-        self._log.write("reloaded", cause="SIGHUP")
+        # Settings hold for a process's life; what changes under traffic
+        # comes from the store. The signal must not end the process.
+        self._log.write("settings_kept", cause="SIGHUP")
 
     async def _conduct(self) -> None:
         while True:
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -47,18 +47,12 @@
         self._pending_read: asyncio.Future[bytes] | None = None
         self._idle_deadline = float("inf")
         self._idle_seconds = DEFAULT_IDLE_SECONDS
-        self._is_used = False
 
     @property
     def address(self) -> str:
         """The endpoint's address."""
         return self._address
 
-    @property
-    def is_used(self) -> bool:
-        """Whether a request went over it before."""
-        return self._is_used
-
     @property
     def is_reusable(self) -> bool:
         """Whether the next request may go over it.
@@ -120,7 +114,6 @@
         if body:
             data += self._framing.send(h11.Data(data=body)) or b""
         data += self._framing.send(h11.EndOfMessage()) or b""
-        self._is_used = True
         try:
             written = self._stream.write(data)
         except _FAULTS as error:
@@ -252,15 +245,14 @@
         """How many connections were opened so far."""
         return self._opened
 
-    async def take(self, address: str, is_fresh: bool) -> EndpointLink:
-        """Return a connection to an endpoint.
+    async def take(self, address: str) -> EndpointLink:
+        """Return a connection to an endpoint, an idle one if there is one.
 
         :param address: the endpoint's IP number and port.
-        :param is_fresh: whether an idle one will not do.
         :raises errors.NotSentError: none could be opened.
         """
         idle = self._idle.get(address, [])
-        while idle and not is_fresh:
+        while idle:
             link = idle.pop()
             if link.is_reusable:
                 return link
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -1,8 +1,6 @@
 """What forwarding to plain services and to model servers share."""
 
-import asyncio
 import collections.abc
-import random
 import time
 
 from wagtailstream_router import (
@@ -198,8 +196,3 @@
 def seconds_left(task: job.Job) -> float:
     """Return the seconds to a request's deadline, never below zero."""
     return max(0.0, task.deadline - time.monotonic())
-
-
-async def pause_briefly(task: job.Job, generator: random.Random) -> None:
-    """Wait a moment before the same few endpoints are asked again."""
-    await asyncio.sleep(min(seconds_left(task), generator.uniform(0.01, 0.03)))
--- a/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
@@ -65,7 +65,7 @@
             ) from error
 
     async def _fetch(self) -> bytes:
-        link = await self._pool.take(self._address, False)
+        link = await self._pool.take(self._address)
         try:
             fields = [("Host", self._address)]
             link.send("GET", PATH_PREFIX + self._name, fields, b"")
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -6,9 +6,6 @@
 
 from wagtailstream_router import rollout_state
 
-# Fits one datagram without fragments on the sheets' links.
-MAX_BYTES = 8192
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointLoad:
--- a/packages/wagtailstream-router/wagtailstream_router/replica.py
+++ b/packages/wagtailstream-router/wagtailstream_router/replica.py
@@ -43,11 +43,6 @@
         """Whether the whole topic was read once."""
         return self._end >= 0
 
-    @property
-    def current_at(self) -> float:
-        """The latest moment at which the copy is known to have been whole."""
-        return self._current_at
-
     @property
     def change(self) -> int:
         """A number that rises whenever a record changes."""
