Let a cancelled read of the log in memory end

Cause: test_at_most_one_claimant_runs_a_key did not end, or drew from hypothesis's own generator as often as racing tasks happened to ask (FlakyStrategyDefinition beside load). Two faults: asyncio.wait_for of Python 3.11 loses a cancellation that comes together with the record it waits for, so that a reader lived on and the example never ended; and the fates of appends were drawn while tasks raced. Traced on the smallest example (two claims without time, seed 0), whose reader was left 'cancelling' with no wait.

The read uses asyncio.timeout, the fates and a seed are drawn before the tasks start, and the test of the overtaken reader no longer hangs on drawn delays. Claims, tries and assertions stay as they were.

Ruled out: the ledger (its assertion never failed), slow tries (an example takes 0.1 to 0.3 s).

--- a/packages/wagtailstream-runtime/wagtailstream_runtime/log_client.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/log_client.py
@@ -122,10 +122,12 @@
         if len(records) <= offset and wait_seconds > 0:
             async with self._appended:
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(
-                        self._appended.wait_for(lambda: len(records) > offset),
-                        wait_seconds,
-                    )
+                    # asyncio.wait_for would lose a cancellation that comes
+                    # together with the record.
+                    async with asyncio.timeout(wait_seconds):
+                        await self._appended.wait_for(
+                            lambda: len(records) > offset
+                        )
         return Slice(0, len(records), tuple(records[offset:]))
 
 
--- a/tests/agent/test_claims.py
+++ b/tests/agent/test_claims.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+import collections.abc
 import contextlib
+import enum
 import random
 import time
 
@@ -18,27 +20,40 @@
 LIMIT_SECONDS = 20.0
 
 
+class Fate(enum.Enum):
+    """What becomes of an append."""
+
+    DONE = "done"
+    ANSWER_LOST = "answer lost"
+    REFUSED = "refused"
+
+
 class FaultyLog(log_client.MemoryLog):
-    """Refuses and loses answers as a generator says, delays at random.
+    """Refuses and loses answers of appends, delays at random.
 
-    :param fault_share: of appends, half of which land all the same.
+    :param rng: draws the delays.
+    :param fates: of the first appends, in order; those after them are done.
     """
 
-    def __init__(self, rng: random.Random, fault_share: float = 0.0) -> None:
+    def __init__(
+        self, rng: random.Random, fates: collections.abc.Iterable[Fate] = ()
+    ) -> None:
         super().__init__()
         self._rng = rng
-        self.fault_share = fault_share
+        self._fates = collections.deque(fates)
+        self.is_down = False
         self.first = 0
 
     async def append(self, stream: str, payload: bytes) -> log_client.Appended:
         for _ in range(self._rng.randrange(3)):
             await asyncio.sleep(0)
-        if self._rng.random() >= self.fault_share:
-            return await super().append(stream, payload)
-        if self._rng.random() < 0.5:
-            await super().append(stream, payload)
+        fate = self._fates.popleft() if self._fates else Fate.DONE
+        if self.is_down or fate is Fate.REFUSED:
+            raise errors.LogUnavailableError("append", "log", "outage")
+        appended = await super().append(stream, payload)
+        if fate is Fate.ANSWER_LOST:
             raise errors.AppendUncertainError("append", "log", "lost")
-        raise errors.LogUnavailableError("append", "log", "outage")
+        return appended
 
     async def read(
         self, stream: str, offset: int, wait_seconds: float = 0.0
@@ -93,13 +108,15 @@
         min_size=2,
         max_size=8,
     ),
-    st.sampled_from([0.0, 0.4]),
-    st.randoms(use_true_random=False),
+    # Drawn whole before the tasks race: how often these ask hangs on how they
+    # fall together.
+    st.lists(st.sampled_from(Fate), max_size=16),
+    st.integers(0, 2**32 - 1),
 )
 def test_at_most_one_claimant_runs_a_key(
     tries: list[tuple[int, str, float, bool]],
-    fault_share: float,
-    rng: random.Random,
+    fates: list[Fate],
+    seed: int,
 ) -> None:
     """Tries of three agents at once; some give up, some after winning."""
     runs: collections.Counter[str] = collections.Counter()
@@ -118,7 +135,7 @@
                 runs[claim.idempotency_key] += 1
 
     async def run() -> None:
-        log = FaultyLog(rng, fault_share)
+        log = FaultyLog(random.Random(seed), fates)
         async with contextlib.AsyncExitStack() as stack:
             agents = [
                 await stack.enter_async_context(run_ledger(log))
@@ -172,12 +189,12 @@
         log = FaultyLog(random.Random(1))
         async with run_ledger(log) as made:
             await wait_complete(made)
-            log.fault_share = 1.0
+            log.is_down = True
             claim = make_claim("k", "a")
             with pytest.raises(errors.LogUnavailableError):
                 await made.claim(claim, time.time() + 0.3)
             assert made.abandoning_count == 1
-            log.fault_share = 0.0
+            log.is_down = False
             async with asyncio.timeout(LIMIT_SECONDS):
                 while made.abandoning_count:
                     await asyncio.sleep(0.01)
@@ -210,9 +227,10 @@
         async def append(
             self, stream: str, payload: bytes
         ) -> log_client.Appended:
-            rival = make_claim("k", "rival")
-            await super().append(stream, ledger.encode_batch([rival]))
-            appended = await super().append(stream, payload)
+            # Without delays, so that no reader comes between.
+            rival = ledger.encode_batch([make_claim("k", "rival")])
+            await log_client.MemoryLog.append(self, stream, rival)
+            appended = await log_client.MemoryLog.append(self, stream, payload)
             self.first = appended.offset
             return appended
 
