Withdraw strikes on an endpoint that outlived its agent

A request in flight on two agents that were restarted in turn was quarantined. The entry cannot see the engine, but the agent's successor can: engines name the life of their process, agents pass it on in heartbeats, and a strike laid on an agent's death is withdrawn everywhere once its successor names the same life.

Ruled out: not striking on an agent's death at all (an instance that dies with its engine would no longer count), clearing the digest (would take other endpoints' strikes back too).

--- a/experiments/heartbeats.py
+++ b/experiments/heartbeats.py
@@ -174,6 +174,7 @@
         INTERVAL_SECONDS,
         links.LinkBounds("entry-1", len(ports)),
         lambda news: None,
+        lambda endpoint, life: None,
     )
     following = asyncio.ensure_future(table.run())
     await asyncio.sleep(WARM_UP_SECONDS)
--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -267,6 +267,7 @@
                 for priority, queued in self._slots.count_queued().items()
             ],
             stalled=self._stall_watch.is_stalled,
+            endpoint_life=state.life if state else "",
             tallies=heartbeat_codec.encode_tallies(
                 self._board.list_shared(self._clock.monotonic())
             ),
--- a/packages/wagtailstream-agent/wagtailstream_agent/engine.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/engine.py
@@ -58,13 +58,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class EngineState:
-    """What an engine reports of itself, with a lag."""
+    """What an engine reports of itself, with a lag.
+
+    :param life: names the life of its process; "" if it does not say.
+    """
 
     loaded: frozenset[configuration.ModelVersion]
     loading: frozenset[configuration.ModelVersion]
     running: int
     queued: int
     slots: int
+    life: str = ""
 
 
 class Engine(abc.ABC):
@@ -116,6 +120,7 @@
     running: int
     queued: int
     slots: int
+    life: str = ""
 
 
 class _WireLine(pydantic.BaseModel):
@@ -221,6 +226,7 @@
             wire.running,
             wire.queued,
             wire.slots,
+            wire.life,
         )
 
     async def order(
--- a/packages/wagtailstream-core/wagtailstream_core/heartbeat_codec.py
+++ b/packages/wagtailstream-core/wagtailstream_core/heartbeat_codec.py
@@ -84,20 +84,37 @@
     """Put news of strikes into a heartbeat.
 
     :param message: the heartbeat.
-    :param news: strikes and clearings.
+    :param news: strikes, clearings and withdrawals.
     """
     for item in news:
-        if isinstance(item, strikes.Strike):
-            message.strikes.add(
-                digest=item.digest,
-                endpoint=item.endpoint,
-                struck_unix_ms=wire_codec.to_milliseconds(item.struck_at),
-            )
-        else:
-            message.clearings.add(
-                digest=item.digest,
-                cleared_unix_ms=wire_codec.to_milliseconds(item.cleared_at),
-            )
+        match item:
+            case strikes.Strike():
+                message.strikes.append(_encode_strike(item))
+            case strikes.Withdrawal():
+                message.withdrawn_strikes.append(_encode_strike(item.strike))
+            case strikes.Clearing():
+                message.clearings.add(
+                    digest=item.digest,
+                    cleared_unix_ms=wire_codec.to_milliseconds(
+                        item.cleared_at
+                    ),
+                )
+
+
+def _encode_strike(strike: strikes.Strike) -> wire_pb2.Strike:
+    return wire_pb2.Strike(
+        digest=strike.digest,
+        endpoint=strike.endpoint,
+        struck_unix_ms=wire_codec.to_milliseconds(strike.struck_at),
+    )
+
+
+def _decode_strike(message: wire_pb2.Strike) -> strikes.Strike:
+    return strikes.Strike(
+        message.digest,
+        message.endpoint,
+        wire_codec.to_seconds(message.struck_unix_ms),
+    )
 
 
 def decode_strikes(message: wire_pb2.Heartbeat) -> list[strikes.News]:
@@ -105,16 +122,16 @@
 
     :param message: the heartbeat.
     """
-    struck: list[strikes.News] = [
-        strikes.Strike(
-            s.digest, s.endpoint, wire_codec.to_seconds(s.struck_unix_ms)
-        )
-        for s in message.strikes
-    ]
-    return struck + [
+    struck: list[strikes.News] = list(map(_decode_strike, message.strikes))
+    cleared = [
         strikes.Clearing(c.digest, wire_codec.to_seconds(c.cleared_unix_ms))
         for c in message.clearings
     ]
+    withdrawn = [
+        strikes.Withdrawal(_decode_strike(s))
+        for s in message.withdrawn_strikes
+    ]
+    return struck + cleared + withdrawn
 
 
 def encode_tallies(
--- a/packages/wagtailstream-core/wagtailstream_core/strikes.py
+++ b/packages/wagtailstream-core/wagtailstream_core/strikes.py
@@ -36,7 +36,14 @@
     cleared_at: float
 
 
-News = Strike | Clearing
+@dataclasses.dataclass(frozen=True, order=True)
+class Withdrawal:
+    """A strike was a mistake: the endpoint outlived its agent."""
+
+    strike: Strike
+
+
+News = Strike | Clearing | Withdrawal
 
 
 @dataclasses.dataclass(frozen=True)
@@ -75,6 +82,7 @@
         self._capacity = capacity
         self._strikes: dict[str, set[Strike]] = {}
         self._cleared_at: dict[str, float] = {}
+        self._withdrawn: set[Strike] = set()
         self._position = 0
         self._changes: dict[News, int] = {}
 
@@ -90,17 +98,20 @@
         """
         before = self._position
         for item in news:
-            if isinstance(item, Strike):
-                self._add(item)
-            else:
-                self._clear(item)
+            match item:
+                case Strike():
+                    self._add(item)
+                case Clearing():
+                    self._clear(item)
+                case Withdrawal():
+                    self._withdraw(item)
         self._bound()
         return self._position > before
 
     def _add(self, strike: Strike) -> None:
         known = self._strikes.get(strike.digest, set())
         cleared_at = self._cleared_at.get(strike.digest)
-        if strike in known:
+        if strike in known or strike in self._withdrawn:
             return
         if cleared_at is not None and strike.struck_at <= cleared_at:
             return
@@ -120,6 +131,15 @@
                 self._drop(strike)
         self._note(clearing)
 
+    def _withdraw(self, withdrawal: Withdrawal) -> None:
+        strike = withdrawal.strike
+        if strike in self._withdrawn:
+            return
+        self._withdrawn.add(strike)
+        if strike in self._strikes.get(strike.digest, ()):
+            self._drop(strike)
+        self._note(withdrawal)
+
     def _drop(self, strike: Strike) -> None:
         self._changes.pop(strike, None)
         kept = self._strikes[strike.digest]
@@ -139,6 +159,14 @@
             digest = next(iter(self._cleared_at))
             cleared_at = self._cleared_at.pop(digest)
             self._changes.pop(Clearing(digest, cleared_at), None)
+        while len(self._withdrawn) > self._capacity:
+            self._forget_withdrawn(
+                min(self._withdrawn, key=lambda one: one.struck_at)
+            )
+
+    def _forget_withdrawn(self, strike: Strike) -> None:
+        self._withdrawn.discard(strike)
+        self._changes.pop(Withdrawal(strike), None)
 
     def find_strikes(self, digest: str) -> frozenset[Strike]:
         """Return the strikes that count against a digest.
@@ -196,6 +224,9 @@
             for strike in list(struck):
                 if strike.struck_at < before:
                     self._drop(strike)
+        for strike in list(self._withdrawn):
+            if strike.struck_at < before:
+                self._forget_withdrawn(strike)
         for digest, cleared_at in list(self._cleared_at.items()):
             if cleared_at < before:
                 del self._cleared_at[digest]
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -133,6 +133,7 @@
                 entry_settings.instance, entry_settings.max_links
             ),
             lambda news: self._watch.merge(news),
+            lambda endpoint, life: self._quarantine.hear_life(endpoint, life),
             tls.make_client_context(entry_settings.tls),
         )
         self._watch = version_watch.VersionWatch(
@@ -166,6 +167,13 @@
             random.Random(),
             self._metrics,
         )
+        self._quarantine = quarantine.Quarantine(
+            strikes,
+            self._log,
+            self._follower,
+            entry_settings.load_fleet_signer(),
+            self._clock,
+        )
         self._dispatcher = dispatch.Dispatcher(
             self._table,
             entry_settings.data_centre,
@@ -173,13 +181,7 @@
             random.Random(),
             self._metrics,
             entry_settings.instance,
-            quarantine.Quarantine(
-                strikes,
-                self._log,
-                self._follower,
-                entry_settings.load_fleet_signer(),
-                self._clock,
-            ),
+            self._quarantine,
         )
         self._settle = settle.Settle(
             self._outbox, self._clock, entry_settings.instance
--- a/packages/wagtailstream-entry/wagtailstream_entry/endpoints/agent_state.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/agent_state.py
@@ -17,6 +17,7 @@
     :param others_rates: what customers ask of all other entries, a second.
     :param heard_at: monotonic seconds.
     :param is_stalled: whether the endpoint makes no progress.
+    :param life: names the life of the endpoint's process; "" if not known.
     """
 
     instance: str
@@ -36,6 +37,7 @@
     heard_at: float
     sequence: int = 0
     is_stalled: bool = False
+    life: str = ""
 
 
 def decode_state(
@@ -68,4 +70,5 @@
         now,
         message.sequence,
         message.stalled,
+        message.endpoint_life,
     )
--- a/packages/wagtailstream-entry/wagtailstream_entry/endpoints/dispatch.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/dispatch.py
@@ -267,8 +267,9 @@
             item.make_work(item.assembler.position),
             self._quarantine.is_suspect(item.digest),
         )
+        life = link.state.life if link.state is not None else ""
         run = await link.open_run(attempt)
-        return hedge.Leg(link, run, number, self._clock.monotonic())
+        return hedge.Leg(link, run, number, self._clock.monotonic(), life)
 
     async def _attempt(self, item: job.Job, legs: list[hedge.Leg]) -> Outcome:
         """Run an attempt that was sent; it may be joined by a hedge."""
@@ -352,7 +353,9 @@
                 answer = task.result()
                 if not racing or not isinstance(answer, work.Refused):
                     return leg, answer
-                await self._note_refused(item, leg.link, answer.refusal)
+                await self._note_refused(
+                    item, leg.link, answer.refusal, leg.doubtful_life
+                )
 
     async def _next_piece(self, item: job.Job, leg: hedge.Leg) -> Answer:
         """Return the first answer that decides something."""
@@ -377,6 +380,7 @@
         refusal = await self._describe_failure(
             leg.link, error, leg.is_accepted
         )
+        leg.is_agent_lost = refusal.reason is errors.Reason.ENDPOINT_LOST
         item.is_corrupt |= isinstance(error, errors.CorruptAnswerError)
         if refusal.reason is errors.Reason.ENDPOINT_FAILED:
             item.note_broken(leg.link.address)
@@ -425,7 +429,9 @@
         self._catch_up(leg.link, answer.configuration_offset)
         if _is_said_by_agent(answer):
             item.target.note_failed()
-        await self._note_refused(item, leg.link, answer.refusal)
+        await self._note_refused(
+            item, leg.link, answer.refusal, leg.doubtful_life
+        )
         return expression.Error(answer.refusal)
 
     def _note_endpoint(self, item: job.Job, leg: hedge.Leg) -> None:
@@ -443,6 +449,7 @@
         item: job.Job,
         link: agent_link.AgentLink,
         refusal: errors.Refusal,
+        doubtful_life: str = "",
     ) -> None:
         item.last_refusal = refusal
         if _did_not_run(refusal):
@@ -460,7 +467,9 @@
             case errors.Reason.ENDPOINT_LOST:
                 link.note_failure()
                 endpoint = link.state.endpoint if link.state else ""
-                await self._quarantine.note_death(item.digest, endpoint)
+                await self._quarantine.note_death(
+                    item.digest, endpoint, doubtful_life
+                )
         item.tried.add(link.address)
 
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/endpoints/hedge.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/hedge.py
@@ -15,14 +15,23 @@
     """One of the attempts that race for the first piece of an answer.
 
     :param sent_at: monotonic seconds.
+    :param life: the life of the endpoint's process that it was sent to.
     :param is_accepted: whether the agent said that it dispatches it.
+    :param is_agent_lost: whether the agent is gone; its endpoint may live.
     """
 
     link: agent_link.AgentLink
     run: connection.Run
     number: int
     sent_at: float
+    life: str = ""
     is_accepted: bool = False
+    is_agent_lost: bool = False
+
+    @property
+    def doubtful_life(self) -> str:
+        """The life that may have outlived its agent; "" where none may."""
+        return self.life if self.is_agent_lost else ""
 
 
 class Hedger:
--- a/packages/wagtailstream-entry/wagtailstream_entry/endpoints/links.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/links.py
@@ -30,6 +30,8 @@
 TallyTaker = collections.abc.Callable[
     [collections.abc.Iterable[wire_pb2.VersionTally]], None
 ]
+# Takes an endpoint's name and the life of its process.
+LifeTaker = collections.abc.Callable[[str, str], None]
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -57,6 +59,7 @@
     :param refresh_seconds: the time between looks at the list.
     :param bounds: which part of a large fleet this entry links to.
     :param take_tallies: takes the counts that heartbeats carry.
+    :param take_life: takes the life of each endpoint's process.
     :param context: for TLS; None for plain connections.
     """
 
@@ -70,6 +73,7 @@
         refresh_seconds: float,
         bounds: LinkBounds,
         take_tallies: TallyTaker,
+        take_life: LifeTaker,
         context: ssl.SSLContext | None = None,
     ) -> None:
         self._context = context
@@ -88,6 +92,7 @@
         self._clock = system_clock
         self._watch_settings = watch_settings
         self._take_tallies = take_tallies
+        self._take_life = take_life
 
     @property
     def follower(self) -> follower.Follower:
@@ -270,6 +275,7 @@
             heartbeat_codec.decode_contacts(message.contacts)
         )
         self._take_tallies(message.tallies)
+        self._take_life(message.endpoint, message.endpoint_life)
         own = self._follower.state.offset
         if message.configuration_offset > own:
             self.spawn(link.pull_configuration())
--- a/packages/wagtailstream-entry/wagtailstream_entry/endpoints/quarantine.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/endpoints/quarantine.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 
-from wagtailstream_core import clock, errors, records, signing
+from wagtailstream_core import clock, errors, records, signing, strikes
 from wagtailstream_runtime import (
     follower,
     log_client,
@@ -12,6 +12,9 @@
 
 APPEND_WAIT_SECONDS = 1.0
 RETRY_SECONDS = 5.0
+# An agent that is not back by then is taken to have died with its endpoint:
+# ten times the start of an agent.
+DOUBT_SECONDS = 30.0
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -40,6 +43,7 @@
         self._signer = signer
         self._clock = system_clock
         self._tried_at: dict[str, float] = {}
+        self._doubtful: dict[strikes.Strike, str] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def check(self, digest: str) -> errors.Refusal | None:
@@ -64,13 +68,40 @@
         """
         self._board.note_answer(digest)
 
-    async def note_death(self, digest: str, endpoint: str) -> None:
+    def hear_life(self, endpoint: str, life: str) -> None:
+        """Take back strikes of an endpoint that outlived its agent.
+
+        :param endpoint: the endpoint's name.
+        :param life: names the life of the endpoint's process, as its agent
+            says; "" if the agent does not know it.
+        """
+        if not life:
+            return
+        doubtful = [
+            strike for strike in self._doubtful if strike.endpoint == endpoint
+        ]
+        mistaken = [one for one in doubtful if self._doubtful[one] == life]
+        for strike in doubtful:
+            del self._doubtful[strike]
+        if mistaken:
+            self._board.withdraw(mistaken)
+
+    async def note_death(
+        self, digest: str, endpoint: str, life: str = ""
+    ) -> None:
         """Count a strike; at the limit, wait a little for the record.
 
         :param digest: the digest of a body that was in flight.
         :param endpoint: the name of the endpoint that died.
+        :param life: the life that ran the request, where only its agent is
+            known to have died; "" where the endpoint is known to have died.
         """
-        self._board.note_death(digest, endpoint)
+        strike = self._board.note_death(digest, endpoint)
+        oldest = strike.struck_at - DOUBT_SECONDS
+        for known in [s for s in self._doubtful if s.struck_at < oldest]:
+            del self._doubtful[known]
+        if life:
+            self._doubtful[strike] = life
         task = self._record_soon(digest)
         if task is not None:
             await asyncio.wait([task], timeout=APPEND_WAIT_SECONDS)
--- a/packages/wagtailstream-runtime/wagtailstream_runtime/strike_board.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/strike_board.py
@@ -5,6 +5,8 @@
 verdict last and reaches the instances that no heartbeat links.
 """
 
+import collections.abc
+
 from wagtailstream_core import (
     bundle,
     clock,
@@ -100,15 +102,27 @@
             until,
         )
 
-    def note_death(self, digest: str, endpoint: str) -> None:
-        """Count a strike.
+    def note_death(self, digest: str, endpoint: str) -> strikes.Strike:
+        """Count a strike and return it.
 
         :param digest: the digest of a body that was in flight.
         :param endpoint: the name of the endpoint that died.
         """
         self._metrics.count(metrics.Metric.STRIKES)
-        struck_at = self._clock.wall()
-        self._merge([strikes.Strike(digest, endpoint, struck_at)])
+        # As heartbeats carry it, so that all instances hold the same strike.
+        struck_at = round(self._clock.wall(), 3)
+        strike = strikes.Strike(digest, endpoint, struck_at)
+        self._merge([strike])
+        return strike
+
+    def withdraw(
+        self, mistaken: collections.abc.Iterable[strikes.Strike]
+    ) -> None:
+        """Take strikes back.
+
+        :param mistaken: strikes on an endpoint that did not die.
+        """
+        self._merge([strikes.Withdrawal(strike) for strike in mistaken])
 
     def note_answer(self, digest: str) -> None:
         """Clear the strikes of a digest that was answered.
@@ -123,7 +137,7 @@
 
         :param message: its heartbeat.
         """
-        if message.strikes or message.clearings:
+        if message.strikes or message.clearings or message.withdrawn_strikes:
             self._merge(heartbeat_codec.decode_strikes(message))
 
     def _merge(self, news: list[strikes.News]) -> None:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -10,6 +10,7 @@
 import tornado.httpclient
 import tornado.iostream
 import tornado.web
+import uuid_utils
 
 import standins.answers as answers
 import standins.batch as batch
@@ -85,6 +86,7 @@
         self._loading: dict[Version, asyncio.Task[None]] = {}
         self._load = service.LaggedValue[tuple[int, int]]((0, 0))
         self._thawed = asyncio.Event()
+        self._life = str(uuid_utils.uuid7())
         self.faults_changed()
 
     def routes(self) -> service.Rules:
@@ -153,6 +155,7 @@
             "running": running,
             "queued": queued,
             "slots": self.settings.slots,
+            "life": self._life,
         }
 
     def _record_load(self) -> None:
--- a/tests/core/test_strikes.py
+++ b/tests/core/test_strikes.py
@@ -13,6 +13,10 @@
 NEWS = strategies.one_of(
     strategies.builds(strikes.Strike, DIGESTS, ENDPOINTS, TIMES),
     strategies.builds(strikes.Clearing, DIGESTS, TIMES),
+    strategies.builds(
+        strikes.Withdrawal,
+        strategies.builds(strikes.Strike, DIGESTS, ENDPOINTS, TIMES),
+    ),
 )
 HISTORIES = strategies.lists(NEWS, max_size=30)
 SETTINGS = hypothesis.settings(derandomize=True, max_examples=300)
@@ -28,8 +32,11 @@
         if isinstance(item, strikes.Clearing) and item.digest == digest
     ]
     deaths: list[strikes.Strike] = []
+    withdrawn = {
+        item.strike for item in history if isinstance(item, strikes.Withdrawal)
+    }
     for item in sorted(
-        {i for i in history if isinstance(i, strikes.Strike)},
+        {i for i in history if isinstance(i, strikes.Strike)} - withdrawn,
         key=lambda s: s.struck_at,
     ):
         if item.digest != digest or item.struck_at <= max(cleared, default=-1):
