Weigh a larger model by its chance to begin in time

Cause: a larger model counted as late from 0.75 of the time left on, and as surely in time below. A logistic curve takes the place of the step.

--- a/packages/wagtailstream-router/wagtailstream_router/ladder.py
+++ b/packages/wagtailstream-router/wagtailstream_router/ladder.py
@@ -20,8 +20,13 @@
 _READ_SHARE = 0.25
 # An output token weighs this many prompt tokens in a request's size.
 _OUTPUT_WEIGHT = 10.0
-# Of the time for full credit, what an estimate may use up.
-_SAFE_SHARE = 0.75
+# The chance that a larger model's first token is in time, by the part of the
+# time left that it is expected to take: a logistic curve through the shares
+# that were (docs/measurements/platform.md, "First tokens").
+_EVEN_TIME_SHARE = 0.9
+_TIME_SHARE_SCALE = 0.1
+# Beyond it a logistic curve is at its end, and exp() would overflow.
+_MAX_EXPONENT = 50.0
 # What a second of a model server's time is worth while all have queues, and
 # the queue at which that is so: about the credit that a second earns.
 _SECOND_CREDIT = 4.0
@@ -135,8 +140,8 @@
         is_largest = place == len(candidates) - 1
         chance = 1.0 if is_largest else good + _MIDDLE_CHANCE * (1.0 - good)
         earned = chance + _POOR_CREDIT * (1.0 - chance)
-        if candidate.first_ms > _SAFE_SHARE * answered.left_ms:
-            earned *= late_share
+        in_time = chance_in_time(candidate.first_ms, answered.left_ms)
+        earned *= in_time + late_share * (1.0 - in_time)
         gain = (earned - kept) * answered.credit
         gain -= candidate.price * answered.tokens / 1000.0
         gain -= _time_price(candidate.work_ms, answered.queue_ms)
@@ -153,6 +158,18 @@
     )
 
 
+def chance_in_time(first_ms: float, left_ms: float) -> float:
+    """Return the chance that a first token comes in time, 0 to 1.
+
+    :param first_ms: when it is expected.
+    :param left_ms: what is left of the time for full credit.
+    """
+    if left_ms <= 0.0:
+        return 0.0
+    excess = (first_ms / left_ms - _EVEN_TIME_SHARE) / _TIME_SHARE_SCALE
+    return 1.0 / (1.0 + math.exp(min(excess, _MAX_EXPONENT)))
+
+
 def _time_price(work_ms: float, queue_ms: float) -> float:
     fullness = min(1.0, queue_ms / _FULL_QUEUE_MS)
     return work_ms / 1000.0 * _SECOND_CREDIT * fullness
