--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -34,6 +34,7 @@
     reply,
     request,
     rollout,
+    settings_watch,
     store,
     warm_prompts,
     wire,
@@ -46,8 +47,15 @@
 # Of the grace period, the part after which open requests are given up.
 GRACE_SHARE = 0.87
 METRICS_PATH = "/metrics"
-# Longer heads than any limit of the configuration are not read at all.
-MAX_HEADER_BYTES = 65536
+# Longer heads than any limit of the configuration are not read at all; up to
+# here a caller learns why it is refused.
+MAX_HEADER_BYTES = 256 * 1024
+# A caller's idle connection outlives the configuration's limit by this much,
+# so that a request in time never meets a close.
+IDLE_MARGIN_SECONDS = 5.0
+# A body that is not there by then is given up: twice the longest deadline of
+# the sheets.
+BODY_SECONDS = 30.0
 
 
 class Router:
@@ -57,6 +65,7 @@
     :param topics: the platform's store.
     :param headers: decodes heads of requests and answers.
     :param records: decodes records of the store.
+    :param source: where settings are read again; None to keep them.
     """
 
     def __init__(
@@ -67,8 +76,15 @@
         records: wire.RecordCodec,
         log: event_log.EventLog,
         counters: metrics.Metrics,
+        source: settings_watch.SettingsSource | None = None,
     ) -> None:
         self._settings = settings
+        self._watch = settings_watch.SettingsWatch(
+            source or settings_watch.FixedSettings(settings),
+            settings,
+            self._take_settings,
+            log,
+        )
         self._topics = topics
         self._log = log
         self._counters = counters
@@ -121,7 +137,7 @@
         self._server = caller_server.CallerServer(
             headers,
             self._handle,
-            self._current.max_body_bytes,
+            lambda: self._current.limits,
             log,
             counters,
         )
@@ -131,6 +147,8 @@
         self._stop = asyncio.Event()
         self._started = asyncio.Event()
         self._ports: dict[str, int] = {}
+        self._servers: list[httpserver.HTTPServer] = []
+        self._idle_seconds = settings.idle_seconds
 
     @property
     def callers_port(self) -> int:
@@ -158,6 +176,11 @@
         value = self._current.get()
         return value.version if value is not None else 0
 
+    @property
+    def idle_seconds(self) -> float:
+        """How long a caller's idle connection is kept."""
+        return self._idle_seconds
+
     @property
     def endpoint_count(self) -> int:
         """How many endpoints are known."""
@@ -173,7 +196,7 @@
 
     def _make_front(self, headers: wire.HeaderCodec) -> front.Front:
         answerer = self._answerer
-        tries = forwarding.Tries(
+        self._tries = forwarding.Tries(
             self._settings.bounds.retry_budget,
             lambda: self._gossip.process_count,
             self._log,
@@ -183,16 +206,16 @@
         plain = forward_plain.PlainForwarder(
             self._members,
             sender,
-            tries,
+            self._tries,
             answerer,
             self._log,
             self._counters,
             self._settings.zone,
         )
-        stream = forward_stream.StreamForwarder(
+        self._stream = forward_stream.StreamForwarder(
             self._members,
             sender,
-            tries,
+            self._tries,
             answerer,
             self._rollouts,
             self._warm,
@@ -203,7 +226,7 @@
         return front.Front(
             self._current,
             plain,
-            stream,
+            self._stream,
             answerer,
             self._counters,
             random.Random(),
@@ -276,27 +299,19 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop)
-        loop.add_signal_handler(signal.SIGHUP, self._note_hangup)
-        servers = [
-            self._listen(
-                "callers", self._server, self._settings.callers_address
-            ),
-            self._listen("ready", self._probes, self._settings.ready_address),
-        ]
+        loop.add_signal_handler(signal.SIGHUP, self._watch.note_signal)
+        self._listen("callers", self._server, self._settings.callers_address)
+        self._listen("ready", self._probes, self._settings.ready_address)
         by_topic = {
             one.topic_name: one.copy for one in (self._operator, self._entries)
         }
         copies = page_server.PageServer(
             functools.partial(peer_copy.make_page, by_topic)
         )
-        servers.append(
-            self._listen("copies", copies, self._settings.gossip_address)
-        )
+        self._listen("copies", copies, self._settings.gossip_address)
         if self._settings.metrics_address:
-            servers.append(
-                self._listen(
-                    "metrics", self._probes, self._settings.metrics_address
-                )
+            self._listen(
+                "metrics", self._probes, self._settings.metrics_address
             )
         tasks = [
             asyncio.ensure_future(coroutine)
@@ -306,12 +321,13 @@
                 self._conduct(),
                 self._gossip.run(),
                 self._prune(),
+                self._watch.run(),
             )
         ]
         self._started.set()
         self._log.write("started", zone=self._settings.zone)
         await self._stop.wait()
-        await self._shut_down(servers)
+        await self._shut_down()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -325,7 +341,7 @@
         name: str,
         delegate: httputil.HTTPServerConnectionDelegate,
         address: str,
-    ) -> httpserver.HTTPServer:
+    ) -> None:
         host, _, port = address.rpartition(":")
         sockets = netutil.bind_sockets(
             int(port), host, socket.AF_INET, backlog=1024
@@ -334,11 +350,12 @@
             delegate,
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=1 << 30,
-            idle_connection_timeout=self._settings.idle_seconds,
+            idle_connection_timeout=self._idle_seconds,
+            body_timeout=BODY_SECONDS,
         )
         server.add_sockets(sockets)
         self._ports[name] = sockets[0].getsockname()[1]
-        return server
+        self._servers.append(server)
 
     def _make_probe_page(self, path: str) -> page_server.Page:
         if path == METRICS_PATH:
@@ -354,19 +371,32 @@
         self._counters.set(counter.LOG_LINES_DROPPED, self._log.dropped)
 
     def _take_operator_change(self) -> None:
-        self._current.get()
+        self._keep_idle(self._current.limits.idle_ms / 1000.0)
         self._rollouts.refresh()
         self._gossip.send(is_urgent=True)
 
+    def _keep_idle(self, seconds: float) -> None:
+        """Keep callers' idle connections for no less than a limit."""
+        seconds = max(self._settings.idle_seconds, seconds)
+        self._idle_seconds = seconds + IDLE_MARGIN_SECONDS
+        for server in self._servers:
+            server.conn_params.header_timeout = self._idle_seconds
+
     def _take_entries_change(self) -> None:
         before = self._members.last_changed_end
         if self._members.changed_end != before:
             self._gossip.send(is_urgent=True)
 
-    def _note_hangup(self) -> None:
-        # Settings hold for a process's life; what changes under traffic
-        # comes from the store. The signal must not end the process.
-        self._log.write("settings_kept", cause="SIGHUP")
+    def _take_settings(self, settings: node.Settings) -> None:
+        """Put changed settings in force, for requests from now on."""
+        self._settings = settings
+        bounds = settings.bounds
+        self._tries.set_bounds(bounds.retry_budget)
+        self._rollouts.set_bounds(
+            bounds.exposure_share, bounds.session_seconds
+        )
+        self._stream.set_credits(settings.credits_)
+        self._gossip.set_seeds(settings.seeds)
 
     async def _conduct(self) -> None:
         while True:
@@ -387,7 +417,7 @@
             self._pool.prune(self._members.addresses)
             self._warm.prune(self._members.members)
 
-    async def _shut_down(self, servers: list[httpserver.HTTPServer]) -> None:
+    async def _shut_down(self) -> None:
         """Leave the rotation, let what runs end, stop."""
         began = time.monotonic()
         self._is_draining = True
@@ -407,7 +437,7 @@
                         list(self._server.tasks),
                         return_when=asyncio.ALL_COMPLETED,
                     )
-        for server in servers:
+        for server in self._servers:
             server.stop()
         for task in list(self._server.tasks):
             task.cancel()
--- a/packages/wagtailstream-router/wagtailstream_router/caller_server.py
+++ b/packages/wagtailstream-router/wagtailstream_router/caller_server.py
@@ -8,7 +8,14 @@
 
 from tornado import http1connection, httputil, iostream
 
-from wagtailstream_router import event_log, metrics, reply, request, wire
+from wagtailstream_router import (
+    configuration,
+    event_log,
+    metrics,
+    reply,
+    request,
+    wire,
+)
 
 Handle = collections.abc.Callable[
     [request.Request, reply.Reply], collections.abc.Coroutine[None, None, None]
@@ -107,25 +114,36 @@
     )
 
 
+def _head_bytes(
+    line: httputil.RequestStartLine, headers: httputil.HTTPHeaders
+) -> int:
+    """Return the length of a request's line and headers."""
+    # Blanks and line ends: four for the first line, four for each header.
+    size = len(line.method) + len(line.path) + len(line.version) + 4
+    return size + sum(
+        len(name) + len(value) + 4 for name, value in headers.get_all()
+    )
+
+
 class CallerServer(httputil.HTTPServerConnectionDelegate):
     """Reads callers' requests and starts a task for each.
 
     :param codec: decodes heads.
     :param handle: answers a request.
-    :param max_body_bytes: returns the longest body that is read.
+    :param find_limits: returns what a caller may send.
     """
 
     def __init__(
         self,
         codec: wire.HeaderCodec,
         handle: Handle,
-        max_body_bytes: collections.abc.Callable[[], int],
+        find_limits: collections.abc.Callable[[], configuration.CallerLimits],
         log: event_log.EventLog,
         counters: metrics.Metrics,
     ) -> None:
         self.codec = codec
         self.handle = handle
-        self.max_body_bytes = max_body_bytes
+        self.find_limits = find_limits
         self.log = log
         self.counters = counters
         self.is_closing = False
@@ -152,6 +170,7 @@
         self._reply = ConnectionReply(connection, lambda: owner.is_closing)
         self._line: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
+        self._limits = owner.find_limits()
         self._body: list[bytes] = []
         self._size = 0
         self._arrived = 0.0
@@ -166,8 +185,11 @@
         assert isinstance(start_line, httputil.RequestStartLine)
         self._line = start_line
         self._headers = headers
+        self._limits = self._owner.find_limits()
         length = headers.get("Content-Length", "0")
-        if length.isdecimal() and int(length) > self._owner.max_body_bytes():
+        if _head_bytes(start_line, headers) > self._limits.header_bytes:
+            self._refuse(431, metrics.Counter.REFUSED_LONG_HEAD)
+        elif length.isdecimal() and int(length) > self._limits.body_bytes:
             self._refuse(413, metrics.Counter.REFUSED_TOO_LARGE)
 
     def data_received(self, chunk: bytes) -> None:
@@ -175,7 +197,7 @@
             return
         self._body.append(chunk)
         self._size += len(chunk)
-        if self._size > self._owner.max_body_bytes():
+        if self._size > self._limits.body_bytes:
             self._refuse(413, metrics.Counter.REFUSED_TOO_LARGE)
 
     def finish(self) -> None:
--- a/packages/wagtailstream-router/wagtailstream_router/current.py
+++ b/packages/wagtailstream-router/wagtailstream_router/current.py
@@ -3,8 +3,13 @@
 from wagtailstream_router import configuration, event_log, replica, wire
 
 CONFIGURATION_KEY = "config"
-# Before a configuration is known, no longer body is read.
-DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+# Before a configuration is known: as the users' sheets have them.
+DEFAULT_LIMITS = configuration.CallerLimits(
+    header_bytes=16 * 1024,
+    body_bytes=4 * 1024 * 1024,
+    header_ms=3000.0,
+    idle_ms=15000.0,
+)
 
 
 class Current:
@@ -39,10 +44,11 @@
             self._refresh()
         return self._value
 
-    def max_body_bytes(self) -> int:
-        """Return the longest body that a caller may send."""
+    @property
+    def limits(self) -> configuration.CallerLimits:
+        """What a caller may send, and how long it may idle."""
         value = self.get()
-        return value.limits.body_bytes if value else DEFAULT_BODY_BYTES
+        return value.limits if value else DEFAULT_LIMITS
 
     def _refresh(self) -> None:
         record = self._copy.records.get(CONFIGURATION_KEY)
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -76,6 +76,10 @@
         self._log = log
         self._counters = counters
 
+    def set_credits(self, credits_: ladder.Credits) -> None:
+        """Put other credits in force, for requests from now on."""
+        self._credits = credits_
+
     async def forward(self, task: job.Job) -> None:
         """Answer a request by its deadline."""
         self._tries.note_request(task.service)
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -131,6 +131,12 @@
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._count_processes = count_processes
 
+    def set_bounds(self, bounds: retry_budget.BudgetBounds) -> None:
+        """Put other bounds in force."""
+        self._bounds = bounds
+        for budget in self._budgets.values():
+            budget.set_bounds(bounds)
+
     def note_request(self, service: str) -> None:
         """Count a request for a service."""
         self._budget_of(service).note_request()
--- a/packages/wagtailstream-router/wagtailstream_router/gossip.py
+++ b/packages/wagtailstream-router/wagtailstream_router/gossip.py
@@ -80,6 +80,10 @@
         """Instances that share the fleet's budgets, this one too."""
         return 1 + len(self._peers)
 
+    def set_seeds(self, seeds: collections.abc.Sequence[str]) -> None:
+        """Look for peers at other addresses; known peers stay."""
+        self._seeds = frozenset(seeds)
+
     async def run(self) -> None:
         """Exchange messages until cancelled."""
         loop = asyncio.get_running_loop()
--- a/packages/wagtailstream-router/wagtailstream_router/metrics.py
+++ b/packages/wagtailstream-router/wagtailstream_router/metrics.py
@@ -15,6 +15,7 @@
     REFUSED_CREDENTIAL = "refused_credential"
     REFUSED_MALFORMED = "refused_malformed"
     REFUSED_TOO_LARGE = "refused_too_large"
+    REFUSED_LONG_HEAD = "refused_long_head"
     REFUSED_NO_ENDPOINT = "refused_no_endpoint"
     REFUSED_BY_ENDPOINT = "refused_by_endpoint"
     REFUSED_DEADLINE = "refused_deadline"
--- a/packages/wagtailstream-router/wagtailstream_router/retry_budget.py
+++ b/packages/wagtailstream-router/wagtailstream_router/retry_budget.py
@@ -34,6 +34,10 @@
         self._requests: collections.deque[float] = collections.deque()
         self._extras: collections.deque[float] = collections.deque()
 
+    def set_bounds(self, bounds: BudgetBounds) -> None:
+        """Put other bounds in force; what was counted still counts."""
+        self._bounds = bounds
+
     def note_request(self) -> None:
         """Count a request."""
         self._requests.append(time.monotonic())
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -87,6 +87,10 @@
         self._pins: dict[str, tuple[str, float]] = {}
         self._swept_at = 0.0
 
+    def set_lifetime(self, seconds: float) -> None:
+        """Let sessions live for another time from their next request on."""
+        self._lifetime = seconds
+
     def find(self, session: str) -> str:
         """Return the session's version; "" if none is known."""
         version, deadline = self._pins.get(session, ("", 0.0))
@@ -134,6 +138,13 @@
         """The newest order of each service."""
         return self._progress
 
+    def set_bounds(
+        self, exposure_bound: float, session_seconds: float
+    ) -> None:
+        """Put other bounds in force."""
+        self._exposure_bound = exposure_bound
+        self._pins.set_lifetime(session_seconds)
+
     def refresh(self) -> None:
         """Take over new orders."""
         if self._operator.change == self._seen_change:
