Walk from failed requests to their causes on logs of real processes

The walks of docs/OPERATIONS.md were tried by hand only, and the soak's routers had nothing between them and what they call.

Ruled out: the integration tests' fleet (it runs entries and agents).

--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -25,7 +25,9 @@
 
     model_config = pydantic.ConfigDict(extra="forbid")
 
-    mode: typing.Literal["pass", "cut", "freeze", "delay", "blackhole"]
+    mode: typing.Literal[
+        "pass", "cut", "freeze", "delay", "blackhole", "one_way"
+    ]
     delay_seconds: float = DELAY_SECONDS
 
 
@@ -49,7 +51,8 @@
         peer = await asyncio.open_connection(host, int(port))
         self._writers.append(peer[1])
         await asyncio.gather(
-            self._copy(reader, peer[1]), self._copy(peer[0], writer)
+            self._copy(reader, peer[1]),
+            self._copy(peer[0], writer, is_back=True),
         )
 
     def close(self) -> None:
@@ -58,10 +61,16 @@
             writer.transport.abort()
 
     async def _copy(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_back: bool = False,
     ) -> None:
         try:
             while chunk := await reader.read(CHUNK_BYTES):
+                if is_back and self._route.faults.mode == "one_way":
+                    # Nothing comes back from here on, however long it lasts.
+                    self.silent = True
                 await self._forward(chunk, writer)
         except OSError:
             if not self.silent:
@@ -105,6 +114,13 @@
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def close(self) -> None:
+        """Stop listening, and abort all connections."""
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections):
+            connection.close()
+
     def set_faults(self, faults: RouteFaults) -> None:
         """Change the mode; open connections follow it."""
         self.faults = faults
--- /dev/null
+++ b/standins/router_fleet.py
@@ -0,0 +1,207 @@
+"""Routers as processes before a store and endpoints, on loopback addresses.
+
+Store and endpoints live in this process, each behind a proxy that can delay,
+cut, freeze or swallow what passes between them and the routers.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import pathlib
+import signal
+
+import orjson
+
+from standins import (
+    platform_caller,
+    platform_endpoint,
+    platform_store,
+    proxy,
+    router_process,
+)
+from wagtailstream_adapter import names
+
+HOST = "fleet.test"
+KEY = "fleet-key"
+FIRST_ADDRESS = 11
+# A router is ready within this after its start, also on a busy machine.
+START_LIMIT_SECONDS = 30.0
+# An answer that is not there by then is none: twice the callers' deadline.
+CALL_LIMIT_SECONDS = 6.0
+DEADLINE_MS = 3000
+EVENTS = 8
+STREAM = platform_endpoint.Plan(
+    pieces=platform_endpoint.make_events(range(1, EVENTS + 1)),
+    framing=platform_endpoint.Framing.CHUNKED,
+    headers=((names.CONFIDENCE, "95"),),
+)
+# Kind of route, and the endpoints that one request may be sent to.
+ROUTES = (("safe", 2), ("unsafe", 1), ("streaming", 3))
+
+
+@dataclasses.dataclass(frozen=True)
+class Placed:
+    """An endpoint and the proxy before it."""
+
+    endpoint: platform_endpoint.PlatformEndpoint
+    route: proxy.Route
+    service: str
+
+
+class RouterFleet:
+    """Some routers, a store, and endpoints of two services.
+
+    :param folder: where settings and logs go.
+    :param routers: how many routers.
+    """
+
+    def __init__(self, folder: pathlib.Path, routers: int) -> None:
+        self._folder = folder
+        self.store = platform_store.PlatformStore()
+        self.placed: list[Placed] = []
+        self.addresses = [
+            f"127.0.0.{FIRST_ADDRESS + number}" for number in range(routers)
+        ]
+        self._ports = router_process.pick_ports()
+        self.routers = [
+            router_process.RouterProcess(one, self._ports, folder)
+            for one in self.addresses
+        ]
+        self.store_route = proxy.Route("")
+
+    @property
+    def log_paths(self) -> list[str]:
+        """The files that hold the routers' output."""
+        return [str(self._folder / f"{one}.log") for one in self.addresses]
+
+    async def start(self) -> None:
+        """Start store and routers, and wait until these are ready."""
+        self.store.start()
+        self.store_route.target = self.store.address
+        await self.store_route.listen()
+        self.put_configuration(1)
+        for one in self.routers:
+            self.start_router(one)
+        await self.wait_all_ready()
+
+    def start_router(self, one: router_process.RouterProcess) -> None:
+        """Start a router that does not run."""
+        one.start(f"127.0.0.1:{self.store_route.port}", self.addresses)
+
+    async def stop(self) -> None:
+        """End the routers, then endpoints and store."""
+        for one in self.routers:
+            one.send(signal.SIGCONT)
+            one.send(signal.SIGKILL)
+        for one in self.routers:
+            await one.wait()
+        for placed in self.placed:
+            await placed.route.close()
+            await placed.endpoint.close()
+        await self.store_route.close()
+        await self.store.close()
+
+    async def wait_all_ready(self) -> None:
+        """Wait until all routers are ready.
+
+        :raises TimeoutError: one is not, for long.
+        """
+        for address in self.addresses:
+            async with asyncio.timeout(START_LIMIT_SECONDS):
+                await self._wait_ready(address)
+
+    async def _wait_ready(self, address: str) -> None:
+        while True:
+            with contextlib.suppress(OSError):
+                reader, writer = await asyncio.open_connection(
+                    address, self._ports.ready
+                )
+                writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
+                line = await reader.readline()
+                writer.close()
+                if b"200" in line:
+                    return
+            await asyncio.sleep(0.05)
+
+    async def add_endpoint(self, identity: str, service: str) -> Placed:
+        """Start an endpoint, "engine" or "plain", behind a proxy."""
+        endpoint = platform_endpoint.PlatformEndpoint(identity)
+        endpoint.default = (
+            STREAM if service == "engine" else platform_endpoint.Plan()
+        )
+        await endpoint.start()
+        route = proxy.Route(endpoint.address)
+        await route.listen()
+        placed = Placed(endpoint, route, service)
+        self.placed.append(placed)
+        self.put_entry(placed, "ready")
+        return placed
+
+    def put_entry(self, placed: Placed, state: str) -> None:
+        """Write an endpoint's entry."""
+        entry = {
+            "service": placed.service,
+            "address": f"127.0.0.1:{placed.route.port}",
+            "zone": "zone-1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "born": 1,
+        }
+        identity = placed.endpoint.identity
+        self.store.put(names.ENDPOINTS_TOPIC, identity, orjson.dumps(entry))
+
+    def put_configuration(self, version: int) -> None:
+        """Write a configuration with a route of each kind."""
+        routes = [
+            {
+                "name": kind,
+                "host": HOST,
+                "pathPrefix": f"/{kind}/",
+                "kind": kind,
+                "service": "engine" if kind == "streaming" else "plain",
+                "timeoutMs": 4000,
+                "targetLatencyMs": 1000,
+                "maxAttempts": attempts,
+                "streamResumption": kind == "streaming",
+                "sizes": ["small", "large"] if kind == "streaming" else [],
+                "targetGapMs": 400,
+            }
+            for kind, attempts in ROUTES
+        ]
+        table = {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "plain"}, {"name": "engine"}],
+            "tenants": [{"name": "t", "apiKeys": [KEY]}],
+        }
+        self.store.put(names.OPERATOR_TOPIC, "config", orjson.dumps(table))
+
+    async def call(
+        self, identity: str, kind: str, address: str
+    ) -> platform_caller.Reply:
+        """Send a request of a kind to a router and return its answer.
+
+        :returns: status 0 where there was none.
+        """
+        fields = [
+            ("Host", HOST),
+            (names.REQUEST_ID, identity),
+            (names.DEADLINE_MS, str(DEADLINE_MS)),
+            (names.CREDENTIAL, KEY),
+            (names.MODEL, "*"),
+            (names.TOKENS, "300,40"),
+            (names.PROMPT_PARTS, f"aa:200,{identity}:100"),
+        ]
+        method = "GET" if kind == "safe" else "POST"
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(CALL_LIMIT_SECONDS):
+                return await platform_caller.call(
+                    self._ports.callers,
+                    method,
+                    f"/{kind}/x",
+                    fields,
+                    b"" if kind == "safe" else b"body",
+                    address,
+                )
+        return platform_caller.Reply(0, {}, b"", False)
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import collections
-import contextlib
 import dataclasses
 import os
 import pathlib
@@ -18,38 +17,37 @@
 import sys
 import tempfile
 import time
+import typing
 
 import click
-import orjson
 
 from standins import (
     platform_caller,
     platform_endpoint,
     platform_store,
-    router_process,
+    proxy,
+    router_fleet,
 )
 from wagtailstream_adapter import names
 
+LinkMode = typing.Literal["cut", "freeze", "delay", "blackhole", "one_way"]
+
 ROUTERS = 3
 ENGINES = 3
 PLAIN = 3
 CALLERS = 8
-FIRST_ADDRESS = 11
-HOST = "soak.test"
-KEY = "soak-key"
-EVENTS = 8
-# A router is ready within this after its start, also on a busy machine.
-START_LIMIT_SECONDS = 30.0
 # Of the requests after the last fault, the share that must be answered.
 RECOVERED_SHARE = 0.75
 RECOVERY_SECONDS = 2.0
-STREAM = platform_endpoint.Plan(
-    pieces=platform_endpoint.make_events(range(1, EVENTS + 1)),
-    framing=platform_endpoint.Framing.CHUNKED,
-    headers=((names.CONFIDENCE, "95"),),
-)
-STREAM_BODY = b"".join(STREAM.pieces)
+STREAM_BODY = b"".join(router_fleet.STREAM.pieces)
 PLAIN_BODY = b"".join(platform_endpoint.Plan().pieces)
+LINK_MODES: tuple[LinkMode, ...] = (
+    "cut",
+    "freeze",
+    "delay",
+    "blackhole",
+    "one_way",
+)
 
 
 @dataclasses.dataclass
@@ -83,15 +81,7 @@
         self.outcome = Outcome()
         self._random = random.Random(seed)
         self._seconds = seconds
-        self._store = platform_store.PlatformStore()
-        self._endpoints: list[platform_endpoint.PlatformEndpoint] = []
-        addresses = [f"127.0.0.{FIRST_ADDRESS + n}" for n in range(ROUTERS)]
-        self._ports = router_process.pick_ports()
-        self._routers = [
-            router_process.RouterProcess(one, self._ports, folder)
-            for one in addresses
-        ]
-        self._addresses = addresses
+        self._fleet = router_fleet.RouterFleet(folder, ROUTERS)
         self._refused: set[str] = set()
         self._unsafe: set[str] = set()
         self._sent = 0
@@ -112,99 +102,16 @@
             self._is_over = True
             await asyncio.gather(*callers)
         finally:
-            await self._stop()
+            await self._fleet.stop()
         self._check_runs()
         self._check_recovery()
         return self.outcome
 
     async def _start(self) -> None:
-        self._store.start()
         for number in range(ENGINES + PLAIN):
             service = "engine" if number < ENGINES else "plain"
-            await self._add_endpoint(f"{service}-{number}", service)
-        self._put_configuration(1)
-        for one in self._routers:
-            one.start(self._store.address, self._addresses)
-        async with asyncio.timeout(START_LIMIT_SECONDS):
-            for address in self._addresses:
-                await self._wait_ready(address)
-
-    async def _stop(self) -> None:
-        for one in self._routers:
-            one.send(signal.SIGCONT)
-            one.send(signal.SIGKILL)
-        for one in self._routers:
-            await one.wait()
-        for endpoint in self._endpoints:
-            await endpoint.close()
-        await self._store.close()
-
-    async def _wait_ready(self, address: str) -> None:
-        while True:
-            with contextlib.suppress(OSError):
-                reader, writer = await asyncio.open_connection(
-                    address, self._ports.ready
-                )
-                writer.write(b"GET /readiness HTTP/1.1\r\nHost: x\r\n\r\n")
-                line = await reader.readline()
-                writer.close()
-                if b"200" in line:
-                    return
-            await asyncio.sleep(0.05)
-
-    async def _add_endpoint(self, identity: str, service: str) -> None:
-        endpoint = platform_endpoint.PlatformEndpoint(identity)
-        endpoint.default = (
-            STREAM if service == "engine" else platform_endpoint.Plan()
-        )
-        await endpoint.start()
-        self._endpoints.append(endpoint)
-        self._put_entry(endpoint, service, "ready")
-
-    def _put_entry(
-        self,
-        endpoint: platform_endpoint.PlatformEndpoint,
-        service: str,
-        state: str,
-    ) -> None:
-        entry = {
-            "service": service,
-            "address": endpoint.address,
-            "zone": "zone-1",
-            "version": "v1",
-            "slots": 8,
-            "state": state,
-            "born": 1,
-        }
-        self._store.put(
-            names.ENDPOINTS_TOPIC, endpoint.identity, orjson.dumps(entry)
-        )
-
-    def _put_configuration(self, version: int) -> None:
-        kinds = (("safe", 2), ("unsafe", 1), ("streaming", 3))
-        routes = [
-            {
-                "name": kind,
-                "host": HOST,
-                "pathPrefix": f"/{kind}/",
-                "kind": kind,
-                "service": "engine" if kind == "streaming" else "plain",
-                "timeoutMs": 4000,
-                "targetLatencyMs": 1000,
-                "maxAttempts": attempts,
-                "streamResumption": kind == "streaming",
-                "sizes": ["small", "large"] if kind == "streaming" else [],
-                "targetGapMs": 400,
-            }
-            for kind, attempts in kinds
-        ]
-        table = {
-            "version": version,
-            "routes": routes,
-            "services": [{"name": "plain"}, {"name": "engine"}],
-            "tenants": [{"name": "t", "apiKeys": [KEY]}],
-        }
-        self._store.put(names.OPERATOR_TOPIC, "config", orjson.dumps(table))
+            await self._fleet.add_endpoint(f"{service}-{number}", service)
+        await self._fleet.start()
 
     async def _inject(self) -> None:
         """Start faults in series that overlap, until the time is over."""
@@ -220,6 +127,8 @@
             self._drain_endpoint,
             self._change_configuration,
             self._compact,
+            self._harm_link,
+            self._harm_link,
         ]
         while time.monotonic() < deadline:
             action = self._random.choice(kinds)
@@ -227,13 +136,11 @@
             running.add(asyncio.ensure_future(action()))
             await asyncio.sleep(self._random.uniform(0.1, 0.6))
         await asyncio.gather(*running)
-        self._store.fault = platform_store.Fault.NONE
-        for address in self._addresses:
-            async with asyncio.timeout(START_LIMIT_SECONDS):
-                await self._wait_ready(address)
+        self._fleet.store.fault = platform_store.Fault.NONE
+        await self._fleet.wait_all_ready()
 
     async def _pause_router(self) -> None:
-        one = self._random.choice(self._routers)
+        one = self._random.choice(self._fleet.routers)
         one.send(signal.SIGSTOP)
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         one.send(signal.SIGCONT)
@@ -245,15 +152,15 @@
         await self._restart(signal.SIGTERM)
 
     async def _restart(self, number: signal.Signals) -> None:
-        one = self._random.choice(self._routers)
+        one = self._random.choice(self._fleet.routers)
         async with one.lock:
             one.send(signal.SIGCONT)
             one.send(number)
             await one.wait()
-            one.start(self._store.address, self._addresses)
+            self._fleet.start_router(one)
 
     async def _fail_store(self) -> None:
-        self._store.fault = self._random.choice(
+        self._fleet.store.fault = self._random.choice(
             [
                 platform_store.Fault.BUSY,
                 platform_store.Fault.SILENT,
@@ -261,11 +168,11 @@
             ]
         )
         await asyncio.sleep(self._random.uniform(0.3, 1.5))
-        self._store.fault = platform_store.Fault.NONE
+        self._fleet.store.fault = platform_store.Fault.NONE
 
     async def _fail_endpoint(self) -> None:
         """Let an endpoint spoil its next few answers."""
-        endpoint = self._random.choice(self._endpoints)
+        endpoint = self._random.choice(self._fleet.placed).endpoint
         plan = endpoint.default
         pieces = plan.pieces[: self._random.randint(0, len(plan.pieces))]
         end = self._random.choice(
@@ -283,19 +190,27 @@
             endpoint.plans.append(self._random.choice(spoiled))
 
     async def _drain_endpoint(self) -> None:
-        endpoint = self._random.choice(self._endpoints)
-        service = endpoint.identity.partition("-")[0]
-        self._put_entry(endpoint, service, "draining")
+        placed = self._random.choice(self._fleet.placed)
+        self._fleet.put_entry(placed, "draining")
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
-        self._put_entry(endpoint, service, "ready")
+        self._fleet.put_entry(placed, "ready")
 
     async def _change_configuration(self) -> None:
-        topic = self._store.topic(names.OPERATOR_TOPIC)
-        self._put_configuration(topic.end + 1)
+        topic = self._fleet.store.topic(names.OPERATOR_TOPIC)
+        self._fleet.put_configuration(topic.end + 1)
 
     async def _compact(self) -> None:
-        self._store.compact(names.ENDPOINTS_TOPIC)
-        self._store.compact(names.OPERATOR_TOPIC)
+        self._fleet.store.compact(names.ENDPOINTS_TOPIC)
+        self._fleet.store.compact(names.OPERATOR_TOPIC)
+
+    async def _harm_link(self) -> None:
+        """Harm what passes to one endpoint or the store, for a while."""
+        routes = [placed.route for placed in self._fleet.placed]
+        route = self._random.choice([*routes, self._fleet.store_route])
+        mode = self._random.choice(LINK_MODES)
+        route.set_faults(proxy.RouteFaults(mode=mode))
+        await asyncio.sleep(self._random.uniform(0.2, 1.5))
+        route.set_faults(proxy.RouteFaults(mode="pass"))
 
     async def _call_often(self, number: int) -> None:
         while not self._is_over:
@@ -308,27 +223,8 @@
         if kind == "unsafe":
             self._unsafe.add(identity)
         is_calm = self._is_calm
-        fields = [
-            ("Host", HOST),
-            (names.REQUEST_ID, identity),
-            (names.DEADLINE_MS, "3000"),
-            (names.CREDENTIAL, KEY),
-            (names.MODEL, "*"),
-            (names.TOKENS, "300,40"),
-            (names.PROMPT_PARTS, f"aa:200,{identity}:100"),
-        ]
-        method = "GET" if kind == "safe" else "POST"
-        reply = platform_caller.Reply(0, {}, b"", False)
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(6.0):
-                reply = await platform_caller.call(
-                    self._ports.callers,
-                    method,
-                    f"/{kind}/x",
-                    fields,
-                    b"" if kind == "safe" else b"body",
-                    self._random.choice(self._addresses),
-                )
+        address = self._random.choice(self._fleet.addresses)
+        reply = await self._fleet.call(identity, kind, address)
         self.outcome.statuses[reply.status] += 1
         if is_calm:
             self.outcome.recovered.append(reply.status == 200)
@@ -351,8 +247,8 @@
 
     def _check_runs(self) -> None:
         runs: collections.Counter[str] = collections.Counter()
-        for endpoint in self._endpoints:
-            for arrival in endpoint.arrivals:
+        for placed in self._fleet.placed:
+            for arrival in placed.endpoint.arrivals:
                 runs[arrival.headers.get(names.REQUEST_ID.lower(), "")] += 1
         for identity in self._unsafe:
             if runs[identity] > 1:
--- /dev/null
+++ b/tests/integration/test_explain.py
@@ -0,0 +1,148 @@
+"""From a failed request's id to its cause, on logs of real processes.
+
+The three walks of docs/OPERATIONS.md, with the command that it names.
+"""
+
+import collections.abc
+import dataclasses
+import pathlib
+import random
+import subprocess
+import sys
+
+import pytest_asyncio
+
+from standins import platform_caller, platform_endpoint, router_fleet
+from wagtailstream_adapter import names
+
+ROUTERS = 2
+# Proper requests before and after the failed one, at any router.
+OTHERS = 5
+WEAK = dataclasses.replace(
+    router_fleet.STREAM, headers=((names.CONFIDENCE, "3"),)
+)
+SHED = platform_endpoint.Plan(503, is_not_run=True, is_signed=False)
+CUT = platform_endpoint.Plan(answers=False)
+
+
+@pytest_asyncio.fixture
+async def started(
+    tmp_path: pathlib.Path,
+) -> collections.abc.AsyncIterator[router_fleet.RouterFleet]:
+    made = router_fleet.RouterFleet(tmp_path, ROUTERS)
+    try:
+        for number in range(2):
+            await made.add_endpoint(f"plain-{number}", "plain")
+            await made.add_endpoint(f"engine-{number}", "engine")
+        await made.start()
+        yield made
+    finally:
+        await made.stop()
+
+
+def spoil(
+    started: router_fleet.RouterFleet,
+    service: str,
+    plan: platform_endpoint.Plan,
+) -> None:
+    """Let each endpoint of a service answer the next request by a plan."""
+    for placed in started.placed:
+        if placed.service == service:
+            placed.endpoint.plans.append(plan)
+
+
+async def call_among_others(
+    started: router_fleet.RouterFleet,
+    kind: str,
+    service: str,
+    plan: platform_endpoint.Plan,
+) -> tuple[str, platform_caller.Reply]:
+    """Send proper requests, and one at a place drawn by a seed that is not.
+
+    :returns: the id of that one, and its answer.
+    """
+    generator = random.Random(7)
+    chosen = f"request-{generator.randrange(OTHERS)}"
+    kept: platform_caller.Reply | None = None
+    for number in range(OTHERS):
+        identity = f"request-{number}"
+        if identity == chosen:
+            spoil(started, service, plan)
+        address = generator.choice(started.addresses)
+        reply = await started.call(identity, kind, address)
+        if identity == chosen:
+            kept = reply
+            for placed in started.placed:
+                placed.endpoint.plans.clear()
+    assert kept is not None
+    return chosen, kept
+
+
+def explain(
+    started: router_fleet.RouterFleet, identity: str
+) -> list[dict[str, str]]:
+    """Return the lines that the command puts in order, by field."""
+    done = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "wagtailstream_adapter",
+            "explain",
+            identity,
+            *started.log_paths,
+        ],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    lines = []
+    for line in done.stdout.splitlines():
+        _, node, event, *fields = line.split(" ")
+        pairs = [field.partition("=") for field in fields if "=" in field]
+        table = {key: value for key, _, value in pairs}
+        lines.append(table | {"event": event, "node": node})
+    return lines
+
+
+async def test_refused_before_it_ran(
+    started: router_fleet.RouterFleet,
+) -> None:
+    identity, reply = await call_among_others(started, "unsafe", "plain", SHED)
+    assert reply.status == 503
+    *before, last = explain(started, identity)
+    assert last["event"] == "refused"
+    assert last["reason"] == "refused_by_endpoint"
+    shed = [line for line in before if line["event"] == "attempt_failed"]
+    assert {line["fault"] for line in shed} == {"shed"}
+    assert {line["may_have_run"] for line in shed} == {"False"}
+    assert shed[0]["endpoint"].startswith("plain-")
+
+
+async def test_cut_after_it_was_sent(
+    started: router_fleet.RouterFleet,
+) -> None:
+    identity, reply = await call_among_others(started, "unsafe", "plain", CUT)
+    assert reply.status == 502
+    *before, last = explain(started, identity)
+    assert last["event"] == "failed"
+    assert last["reason"] == "failed_unknown"
+    assert last["sent"] == "1"
+    (cut,) = [line for line in before if line["event"] == "attempt_failed"]
+    assert cut["fault"] == "broken"
+    assert cut["may_have_run"] == "True"
+
+
+async def test_served_by_a_larger_model_than_expected(
+    started: router_fleet.RouterFleet,
+) -> None:
+    identity, reply = await call_among_others(
+        started, "streaming", "engine", WEAK
+    )
+    assert reply.status == 200
+    events = {line["event"]: line for line in explain(started, identity)}
+    climbed = events["model_climbed"]
+    assert climbed["confidence"] == "3.0"
+    assert (climbed["model"], climbed["larger"]) == ("small", "large")
+    assert float(climbed["left_ms"]) > 0.0
+    assert events["answered"]["model"] == "large"
+    assert events["answered"]["sent"] == "2"
