Stop requests that crashed three endpoints

Crashes are now counted by a digest of path, tenant and body. A cut answer counts only if its endpoint then refuses or loses a connection or is gone; peers are told at once; an answer to the digest clears it, so that a popular lookup met by three crashes of others is not kept out.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -13,6 +13,7 @@
 from wagtailstream_router import (
     caller_server,
     conductor,
+    crash_board,
     current,
     directory,
     endpoint_link,
@@ -130,6 +131,9 @@
         self._conductor = conductor.Conductor(
             topics.status, self._rollouts, records, log
         )
+        self._crashes = crash_board.CrashBoard(
+            log, lambda: self._gossip.send(is_urgent=True)
+        )
         self._warm = warm_prompts.WarmPrompts()
         self._pool = endpoint_link.LinkPool(headers)
         self._answerer = forwarding.Answerer(headers, log, counters)
@@ -199,6 +203,8 @@
         self._tries = forwarding.Tries(
             self._settings.bounds.retry_budget,
             lambda: self._gossip.process_count,
+            self._crashes,
+            self._pool.reaches,
             self._log,
             self._counters,
         )
@@ -264,6 +270,7 @@
             peers,
             tuple(self._warm.take_waiting()),
             self._list_copies(),
+            self._list_crashes(),
         )
 
     def _list_copies(self) -> tuple[peer_news.CopyNews, ...]:
@@ -284,6 +291,13 @@
             if one.copy.is_loaded
         )
 
+    def _list_crashes(self) -> tuple[peer_news.CrashNews, ...]:
+        now = time.monotonic()
+        return tuple(
+            peer_news.CrashNews(one.digest, one.endpoint, now - one.at)
+            for one in self._crashes.crashes
+        )
+
     def _take_news(self, news: peer_news.PeerNews | None) -> None:
         """Take over the peers' loads and what they know of roll-outs."""
         alive = self._gossip.alive
@@ -291,6 +305,16 @@
         if news is None:
             return
         self._warm.take_peer_notes(news.warm)
+        now = time.monotonic()
+        self._crashes.take_peer(
+            news.name,
+            [
+                crash_board.Crash(
+                    one.digest, one.endpoint, now - one.age_seconds
+                )
+                for one in news.crashes
+            ],
+        )
         for one in news.rollouts:
             self._rollouts.take_news(news.name, one)
 
@@ -369,6 +393,7 @@
         counter = metrics.Counter
         self._counters.set(counter.CONNECTIONS_OPENED, self._pool.opened)
         self._counters.set(counter.LOG_LINES_DROPPED, self._log.dropped)
+        self._counters.set(counter.ENDPOINTS_CRASHED, self._crashes.total)
 
     def _take_operator_change(self) -> None:
         self._keep_idle(self._current.limits.idle_ms / 1000.0)
@@ -416,6 +441,7 @@
             self._members.refresh()
             self._pool.prune(self._members.addresses)
             self._warm.prune(self._members.members)
+            self._crashes.note_members(self._members.members)
 
     async def _shut_down(self) -> None:
         """Leave the rotation, let what runs end, stop."""
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -262,6 +262,22 @@
         await link.connect()
         return link
 
+    async def reaches(self, address: str) -> bool:
+        """Return whether an endpoint takes connections.
+
+        One that it takes is kept for the next request.
+
+        :param address: the endpoint's IP number and port.
+        """
+        link = EndpointLink(address, self._codec)
+        self._opened += 1
+        try:
+            await link.connect()
+        except errors.NotSentError:
+            return False
+        self.give_back(link)
+        return True
+
     def give_back(self, link: EndpointLink) -> None:
         """Keep a connection for the next request, or close it."""
         if link.is_reusable:
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -63,6 +63,9 @@
     async def _try_endpoints(self, task: job.Job) -> None:
         reason = metrics.Counter.REFUSED_NO_ENDPOINT
         while True:
+            if await self._tries.is_crashing(task):
+                self._answerer.give_up(task, metrics.Counter.REFUSED_CRASHING)
+                return
             member = self._choose(task)
             if member is None:
                 self._answerer.give_up(task, reason)
@@ -128,6 +131,7 @@
         if head.is_success:
             seconds = time.monotonic() - began
             member.health.note_success(seconds * 1000.0)
+            self._tries.note_answer(task, member)
         self._pass_on(task, member, head, body)
         return True
 
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -109,6 +109,11 @@
     async def run(self) -> None:
         task = self._task
         while True:
+            if await self._owner._tries.is_crashing(task):
+                self._owner._answerer.give_up(
+                    task, metrics.Counter.REFUSED_CRASHING
+                )
+                return
             chosen = self._choose(self._model)
             if chosen is None:
                 self._owner._answerer.give_up(task, self._reason)
@@ -363,6 +368,7 @@
         is_largest = self._model in task.route.sizes[-1:]
         pace = gap_ms / speed.decode_ms if gap_ms and is_largest else None
         member.health.note_success(pace)
+        owner._tries.note_answer(task, member)
         owner._versions.note_answer(
             task, member, self._make_sample(chosen, began)
         )
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -1,9 +1,11 @@
 """What forwarding to plain services and to model servers share."""
 
+import asyncio
 import collections.abc
 import time
 
 from wagtailstream_router import (
+    crash_board,
     directory,
     event_log,
     exchange,
@@ -19,6 +21,11 @@
 # full for a moment has room again after a few answers.
 RETRY_AFTER_SECONDS = 0.25
 
+# Returns whether the endpoint at an address takes connections.
+ReachesEndpoint = collections.abc.Callable[
+    [str], collections.abc.Awaitable[bool]
+]
+
 _RETRIED = {
     health.Fault.UNREACHABLE: metrics.Counter.RETRIED_UNREACHABLE,
     health.Fault.SILENT: metrics.Counter.RETRIED_SILENT,
@@ -114,6 +121,8 @@
 
     :param bounds: the fleet's retry budget.
     :param count_processes: returns how many processes share it.
+    :param crashes: counts the endpoints that a request crashed.
+    :param reaches: whether the endpoint at an address takes connections.
     :param log: takes each decision.
     :param counters: count each.
     """
@@ -122,10 +131,15 @@
         self,
         bounds: retry_budget.BudgetBounds,
         count_processes: collections.abc.Callable[[], int],
+        crashes: crash_board.CrashBoard,
+        reaches: ReachesEndpoint,
         log: event_log.EventLog,
         counters: metrics.Metrics,
     ) -> None:
         self._bounds = bounds
+        self._crashes = crashes
+        self._reaches = reaches
+        self._probes: set[asyncio.Task[None]] = set()
         self._log = log
         self._counters = counters
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
@@ -148,6 +162,11 @@
         error: exchange.AttemptError,
     ) -> None:
         """Take a failed attempt into account."""
+        if error.fault is health.Fault.BROKEN:
+            self._crashes.note_cut(_digest_of(task), member.identity)
+            self._probe_soon(member)
+        elif error.fault is health.Fault.UNREACHABLE:
+            self._crashes.note_lost(member.identity)
         is_paused = member.health.note_failure(error.fault)
         self._log.write(
             "attempt_failed",
@@ -158,13 +177,48 @@
             detail=str(error),
         )
         if is_paused:
-            self._counters.count(metrics.Counter.ENDPOINTS_PAUSED)
-            self._log.write(
-                "endpoint_paused",
-                endpoint=member.identity,
-                fault=error.fault.value,
-                bad_share=round(member.health.bad_share, 3),
-            )
+            self._note_paused(member, error.fault)
+
+    def _probe_soon(self, member: directory.Member) -> None:
+        """Find out whether an endpoint crashed as it cut its answer."""
+        probe = asyncio.ensure_future(self._probe(member))
+        self._probes.add(probe)
+        probe.add_done_callback(self._probes.discard)
+
+    async def _probe(self, member: directory.Member) -> None:
+        if await self._reaches(member.entry.address):
+            return
+        self._crashes.note_lost(member.identity)
+        if member.health.note_failure(health.Fault.UNREACHABLE):
+            self._note_paused(member, health.Fault.UNREACHABLE)
+
+    def _note_paused(
+        self, member: directory.Member, fault: health.Fault
+    ) -> None:
+        self._counters.count(metrics.Counter.ENDPOINTS_PAUSED)
+        self._log.write(
+            "endpoint_paused",
+            endpoint=member.identity,
+            fault=fault.value,
+            bad_share=round(member.health.bad_share, 3),
+        )
+
+    def note_answer(self, task: job.Job, member: directory.Member) -> None:
+        """Take an answer into account; its endpoint lives."""
+        if self._crashes.has_news:
+            self._crashes.note_answer(_digest_of(task), member.identity)
+
+    async def is_crashing(self, task: job.Job) -> bool:
+        """Return whether a request crashed too many endpoints to go on."""
+        if not self._crashes.has_news:
+            return False
+        digest = _digest_of(task)
+        is_near = self._crashes.count(digest) >= crash_board.CRASH_LIMIT - 1
+        if is_near and self._probes:
+            # One more crash would be one too many: first see what the last
+            # cut answer was.
+            await asyncio.wait(set(self._probes))
+        return self._crashes.is_refused(digest)
 
     def may_send_again(self, task: job.Job, fault: health.Fault) -> bool:
         """Return whether a failed request may go to another endpoint."""
@@ -199,6 +253,11 @@
         return budget
 
 
+def _digest_of(task: job.Job) -> int:
+    tenant = task.tenant.name if task.tenant is not None else ""
+    return crash_board.digest_of(task.call, tenant)
+
+
 def seconds_left(task: job.Job) -> float:
     """Return the seconds to a request's deadline, never below zero."""
     return max(0.0, task.deadline - time.monotonic())
--- a/packages/wagtailstream-router/wagtailstream_router/metrics.py
+++ b/packages/wagtailstream-router/wagtailstream_router/metrics.py
@@ -20,6 +20,7 @@
     REFUSED_BY_ENDPOINT = "refused_by_endpoint"
     REFUSED_DEADLINE = "refused_deadline"
     REFUSED_DRAINING = "refused_draining"
+    REFUSED_CRASHING = "refused_crashing"
     FAILED_UNKNOWN = "failed_unknown"
     FAILED_TIMEOUT = "failed_timeout"
     FAILED_BY_ENDPOINT = "failed_by_endpoint"
@@ -37,6 +38,7 @@
     STORE_CALLS = "store_calls"
     CONNECTIONS_OPENED = "connections_opened"
     ENDPOINTS_PAUSED = "endpoints_paused"
+    ENDPOINTS_CRASHED = "endpoints_crashed"
     LOG_LINES_DROPPED = "log_lines_dropped"
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -45,6 +45,19 @@
     age_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNews:
+    """An endpoint crashed while it ran a request.
+
+    :param digest: of the request.
+    :param age_seconds: since the crash.
+    """
+
+    digest: int
+    endpoint: str
+    age_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerNews:
     """One instance's state.
@@ -60,6 +73,7 @@
     :param peers: addresses of instances that it hears.
     :param warm: endpoints and marks of prompts that it sent there lately.
     :param copies: its copies of the store's topics.
+    :param crashes: the crashes that it saw.
     """
 
     name: str
@@ -73,6 +87,7 @@
     peers: tuple[str, ...]
     warm: tuple[tuple[str, int], ...]
     copies: tuple[CopyNews, ...]
+    crashes: tuple[CrashNews, ...] = ()
 
 
 def encode(news: PeerNews) -> bytes:
@@ -101,6 +116,10 @@
                 ]
                 for one in news.copies
             ],
+            [
+                [one.digest, one.endpoint, round(one.age_seconds, 3)]
+                for one in news.crashes
+            ],
         ]
     )
 
@@ -138,6 +157,7 @@
             peers,
             warm,
             copies,
+            crashes,
         ) = orjson.loads(data)
         return PeerNews(
             str(name),
@@ -157,6 +177,10 @@
                 CopyNews(str(topic), int(end), int(changed), float(age))
                 for topic, end, changed, age in copies
             ),
+            tuple(
+                CrashNews(int(digest), str(endpoint), float(age))
+                for digest, endpoint, age in crashes
+            ),
         )
     except (TypeError, AttributeError, KeyError) as error:
         raise ValueError(f"no message of a peer: {error!r}") from error
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -39,6 +39,7 @@
     :param end: what follows them.
     :param echo: the id that is echoed; None for the request's own.
     :param answers: False to close the connection without an answer.
+    :param crashes: whether the endpoint is gone in place of an answer.
     :param gate: is awaited before the answer.
     """
 
@@ -51,6 +52,7 @@
     is_not_run: bool = False
     echo: str | None = None
     answers: bool = True
+    crashes: bool = False
     gate: asyncio.Event | None = None
 
 
@@ -148,7 +150,9 @@
             self.arrived.set()
         if plan.gate is not None and not await _wait(plan.gate, reader):
             return False
-        if not plan.answers:
+        if plan.crashes and self._server is not None:
+            self._server.close()
+        if plan.crashes or not plan.answers:
             writer.transport.abort()
             return False
         return await _write(plan, arrival, framing, reader, writer)
