Spare model servers with many requests under way

Cause: servers were chosen by the prompts that wait there and by what they keep, not by what they generate, though all requests of a server take turns. Longer streams are lost in greater number when instances lose power, and hold slots.

Each request under way now adds 12 ms to a server's score.

--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -25,6 +25,10 @@
 # Spared for each place further down an endpoint's ranking for a prompt, so
 # that equal queues send equal prompts to the same endpoint.
 RANK_MS = 20.0
+# Added for each request under way at a server: all its requests take turns, so
+# that one more slows each token of the others (docs/measurements/platform.md,
+# "Pauses").
+LOAD_MS = 12.0
 # Added for each token of a shared part that would be read again: the price of
 # reading it, and of the memory that a second copy takes from others.
 REREAD_MS_PER_TOKEN = 0.015
@@ -99,6 +103,7 @@
         first_ms = member.queue_ms + work_ms
         unknown = max(0, shared - kept)
         score = first_ms + RANK_MS * place + REREAD_MS_PER_TOKEN * unknown
+        score += LOAD_MS * member.load
         if score < best_score:
             best = Estimate(member, first_ms, work_ms)
             best_score = score
