Advance a roll-out only from the stage that was seen

Cause: test_two_operators_advance_at_once once ended at stage 3 for 2 beside load. Traced in the code: 'advance --to 2' looked at the stage in one read of the log and built its step on another; a step of the other operator between the two was counted twice. The step now names the stage it was decided from and counts as lost where the log has moved on; the command looks again.

Ruled out: the fold (each step was right for its base).

--- a/packages/wagtailstream-core/wagtailstream_core/errors.py
+++ b/packages/wagtailstream-core/wagtailstream_core/errors.py
@@ -121,6 +121,10 @@
     """A bundle that is malformed or contradicts itself."""
 
 
+class StageMovedError(WagtailstreamError):
+    """A roll-out is at another stage than the change was made for."""
+
+
 class SettingsError(WagtailstreamError):
     """Settings that are malformed or impossible."""
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/callers/operations.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/operations.py
@@ -219,15 +219,24 @@
 
 
 def make_advance(
-    model: str, state: configuration.Configuration
+    model: str,
+    state: configuration.Configuration,
+    seen_stage: int | None = None,
 ) -> records.Advance:
     """Return the record that moves a roll-out to its next stage.
 
     :param model: the model's name.
     :param state: the configuration that it is based on.
+    :param seen_stage: the stage from which it was decided to go on; None for
+        whichever stage the configuration shows.
     :raises errors.BundleError: there is no roll-out of the model.
+    :raises errors.StageMovedError: it is at another stage by now.
     """
     reached = find_stage(model, state)
+    if seen_stage is not None and reached.stage != seen_stage:
+        raise errors.StageMovedError(
+            "advance", model, f"stage {reached.stage} and not {seen_stage}"
+        )
     return records.Advance(
         base=state.revision,
         model=model,
--- a/packages/wagtailstream-entry/wagtailstream_entry/commands/cli_change.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/commands/cli_change.py
@@ -74,6 +74,8 @@
         published = asyncio.run(_append(loaded, seal))
     except errors.LogUnavailableError as error:
         cli_output.fail(str(error), cli_output.EXIT_FAILED)
+    except errors.StageMovedError as error:
+        cli_output.fail(str(error), cli_output.EXIT_LOST)
     except errors.WagtailstreamError as error:
         cli_output.fail(str(error), cli_output.EXIT_INVALID)
     value = {
@@ -234,12 +236,14 @@
     Example: wagtailstream bundle advance drafter --to 2 --settings alice.yaml
     """
     if target is None:
-        _advance_once(settings_path, model, wait_seconds, output_format)
+        _advance_once(settings_path, model, None, wait_seconds, output_format)
         return
     while (stage := _find_stage(settings_path, model)) < target:
         click.echo(f"{model}: from stage {stage}", err=True)
         try:
-            _advance_once(settings_path, model, wait_seconds, output_format)
+            _advance_once(
+                settings_path, model, stage, wait_seconds, output_format
+            )
         except SystemExit as error:
             # Another operator's step counts as well as this one.
             if error.code != cli_output.EXIT_LOST:
@@ -250,12 +254,15 @@
 def _advance_once(
     settings_path: pathlib.Path,
     model: str,
+    seen_stage: int | None,
     wait_seconds: float,
     output_format: str,
 ) -> None:
     _change(
         settings_path,
-        _seal_with(lambda state: operations.make_advance(model, state)),
+        _seal_with(
+            lambda state: operations.make_advance(model, state, seen_stage)
+        ),
         wait_seconds,
         output_format,
     )
--- a/tests/entry/test_operations.py
+++ b/tests/entry/test_operations.py
@@ -4,7 +4,13 @@
 
 from tests.core import support as core_support
 from tests.runtime import support
-from wagtailstream_core import clock, configuration, records, snapshots
+from wagtailstream_core import (
+    clock,
+    configuration,
+    errors,
+    records,
+    snapshots,
+)
 from wagtailstream_entry.callers import operations
 
 TRIES = 5
@@ -86,3 +92,15 @@
         configuration.Verdict.ACCEPTED,
         configuration.Verdict.STALE_BASE,
     ]
+
+
+async def test_a_step_is_not_taken_from_a_stage_that_was_passed(
+    log: support.FaultyLog,
+) -> None:
+    """Another operator advances between the look and the step."""
+    await append(log, await make_change(log))
+    state = await operations.fetch_configuration(log, core_support.KEYRING)
+    stage = operations.find_stage("drafter", state).stage
+    assert operations.make_advance("drafter", state, stage).stage == stage + 1
+    with pytest.raises(errors.StageMovedError):
+        operations.make_advance("drafter", state, stage - 1)
