Tell peers in turns, packed, and only of those that were heard

Cause: an instance's messages grew with its zone and named every address it had been told of, heard or not, so that a dead address was passed on for ever; a peer's hints replaced each other before they were used. Messages within a zone now take turns beyond eight, name eight heard peers in turn, and are packed; silence is judged by how often a turn comes; a hint is kept for three seconds.

Ruled out: fewer rounds (queues last some hundred ms).

Answered lines name the route and the events, and no first token of an attempt that resumed (it was negative).

--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -217,8 +217,7 @@
                 )
                 return False
             await self._relay_events(answer)
-        seconds = (self._relay.first_at or time.monotonic()) - began
-        self._note_end(chosen, began, seconds)
+        self._note_end(chosen, began)
         return True
 
     def _make_sample(
@@ -356,9 +355,7 @@
         spare = self._has_spare_attempts()
         return gap * (STALL_SHARE if spare else LAST_STALL_SHARE)
 
-    def _note_end(
-        self, chosen: placement.Estimate, began: float, first_seconds: float
-    ) -> None:
+    def _note_end(self, chosen: placement.Estimate, began: float) -> None:
         member = chosen.member
         task = self._task
         owner = self._owner
@@ -389,7 +386,12 @@
             version=member.entry.version,
             model=self._model,
             sent=task.sent,
-            first_ms=round(first_seconds * 1000.0, 1),
+            route=task.route.name,
+            events=self._relay.count,
+            # Since this attempt began; one that resumed had no first event.
+            first_ms=round((self._relay.first_at - began) * 1000.0, 1)
+            if self._relay.first_at >= began
+            else None,
             expected_ms=round(chosen.first_ms, 1),
             work_ms=round(chosen.work_ms, 1),
             ms=round((now - task.call.arrived) * 1000.0, 1),
--- a/packages/wagtailstream-router/wagtailstream_router/gossip.py
+++ b/packages/wagtailstream-router/wagtailstream_router/gossip.py
@@ -11,9 +11,20 @@
 INTERVAL_SECONDS = 0.2
 # A peer that is silent for longer is not counted as alive, nor its load.
 SILENCE_SECONDS = 2.0
+# Messages within the zone in one round; in a larger zone peers take turns, so
+# that an instance's messages do not grow with the fleet.
+NEAR_TARGETS = 8
 # Messages to other zones in one round; a larger fleet takes turns there, as
 # bytes between zones have a price.
 OTHER_ZONE_TARGETS = 4
+# Turns that a peer may miss before it counts as silent, where turns are rarer
+# than that.
+MISSED_TURNS = 4.0
+# Peers that one message names: a newcomer hears of all within some rounds,
+# however large the fleet.
+MAX_TOLD_PEERS = 8
+# How long a peer of a peer is asked before it has to be named again.
+HINT_SECONDS = 3.0
 # A peer that is silent for longer still is forgotten; until then it counts
 # for shares of the fleet's budgets.
 FORGET_SECONDS = 20.0
@@ -32,11 +43,6 @@
     news: peer_news.PeerNews
     heard_at: float
 
-    @property
-    def is_alive(self) -> bool:
-        """Whether it was heard lately."""
-        return time.monotonic() - self.heard_at < SILENCE_SECONDS
-
 
 class Gossip(asyncio.DatagramProtocol):
     """Sends this instance's state to its peers, and keeps theirs.
@@ -59,13 +65,12 @@
     ) -> None:
         self._address = address
         self._zone = zone
-        self._turn = 0
         self._seeds = frozenset(seeds)
         self._make_news = make_news
         self._take_news = take_news
         self._log = log
         self._peers: dict[str, Peer] = {}
-        self._hints: set[str] = set()
+        self._hints: dict[str, float] = {}
         self._lost: set[str] = set()
         self._sequence = 0
         self._transport: asyncio.DatagramTransport | None = None
@@ -73,7 +78,26 @@
     @property
     def alive(self) -> list[Peer]:
         """The peers that were heard lately."""
-        return [peer for peer in self._peers.values() if peer.is_alive]
+        now = time.monotonic()
+        near_limit, far_limit = self._find_limits()
+        return [
+            peer
+            for peer in self._peers.values()
+            if now - peer.heard_at
+            < (near_limit if self._is_near(peer) else far_limit)
+        ]
+
+    def _is_near(self, peer: Peer) -> bool:
+        return peer.news.zone == self._zone
+
+    def _find_limits(self) -> tuple[float, float]:
+        """Return how long peers of this zone and of others may be silent."""
+        near = sum(map(self._is_near, self._peers.values()))
+        far = len(self._peers) - near
+        return (
+            _silence_seconds(near, NEAR_TARGETS),
+            _silence_seconds(far, OTHER_ZONE_TARGETS),
+        )
 
     @property
     def process_count(self) -> int:
@@ -109,30 +133,32 @@
         self._sequence += 1
         known = self._list_known()
         data = peer_news.encode(
-            self._make_news(self._sequence, tuple(sorted(known)))
+            self._make_news(self._sequence, self._choose_told())
         )
         for target in known if is_urgent else self._choose_targets(known):
             host, _, port = target.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
+    def _choose_told(self) -> tuple[str, ...]:
+        """Return the addresses of some peers that were heard, in turn."""
+        heard = {peer.news.address for peer in self.alive}
+        return tuple(_take_turn(heard, MAX_TOLD_PEERS, self._sequence))
+
     def _list_known(self) -> set[str]:
         known = {peer.news.address for peer in self._peers.values()}
-        return (known | self._seeds | self._hints) - {self._address}
+        return (known | self._seeds | set(self._hints)) - {self._address}
 
     def _choose_targets(self, known: set[str]) -> list[str]:
-        """Return all of this zone, and some of the others in turn."""
+        """Return some of this zone and some of the others, each in turn."""
         near = {
             peer.news.address
             for peer in self._peers.values()
-            if peer.news.zone == self._zone
+            if self._is_near(peer)
         }
-        far = sorted(known - near)
-        count = min(OTHER_ZONE_TARGETS, len(far))
-        chosen = [
-            far[(self._turn + place) % len(far)] for place in range(count)
+        return [
+            *_take_turn(near & known, NEAR_TARGETS, self._sequence),
+            *_take_turn(known - near, OTHER_ZONE_TARGETS, self._sequence),
         ]
-        self._turn += count
-        return sorted(near & known) + chosen
 
     def datagram_received(self, data: bytes, addr: object) -> None:
         """Take a peer's message."""
@@ -151,8 +177,10 @@
             self._lost.discard(news.name)
             self._log.write("peer_heard", peer=news.name)
         self._peers[news.name] = Peer(news, time.monotonic())
-        # Peers of peers are asked once; who answers is kept.
-        self._hints = set(news.peers) - self._list_known()
+        self._hints.pop(news.address, None)
+        deadline = time.monotonic() + HINT_SECONDS
+        for address in set(news.peers) - self._list_known():
+            self._hints[address] = deadline
         self._take_news(news)
 
     def error_received(self, exc: Exception) -> None:
@@ -161,12 +189,36 @@
 
     def _forget(self) -> None:
         now = time.monotonic()
+        self._hints = {
+            address: deadline
+            for address, deadline in self._hints.items()
+            if now < deadline
+        }
+        near_limit, far_limit = self._find_limits()
         for name, peer in list(self._peers.items()):
             silent = now - peer.heard_at
-            if silent > SILENCE_SECONDS and name not in self._lost:
+            limit = near_limit if self._is_near(peer) else far_limit
+            if silent > limit and name not in self._lost:
                 self._lost.add(name)
                 self._log.write("peer_lost", peer=name)
                 self._take_news(None)
-            if silent > FORGET_SECONDS:
+            if silent > max(FORGET_SECONDS, limit):
                 del self._peers[name]
                 self._lost.discard(name)
+
+
+def _silence_seconds(count: int, targets: int) -> float:
+    """Return how long one of some peers may be silent.
+
+    :param count: how many there are.
+    :param targets: how many of them get a message in a round.
+    """
+    turn_seconds = INTERVAL_SECONDS * count / targets
+    return max(SILENCE_SECONDS, MISSED_TURNS * turn_seconds)
+
+
+def _take_turn(addresses: set[str], count: int, turn: int) -> list[str]:
+    """Return some addresses; all have come after enough turns in a row."""
+    ordered = sorted(addresses)
+    first = turn * count % max(1, len(ordered))
+    return (ordered[first:] + ordered[:first])[:count]
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -1,11 +1,18 @@
 """What instances tell each other, and its spelling in a datagram."""
 
 import dataclasses
+import zlib
 
 import orjson
 
 from wagtailstream_router import rollout_state
 
+# A message is packed fast rather than small: bytes between zones have a price.
+PACK_LEVEL = 1
+# Longer messages are none of ours: a row for each of a thousand endpoints is
+# shorter.
+MAX_BYTES = 256 * 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndpointLoad:
@@ -92,7 +99,7 @@
 
 def encode(news: PeerNews) -> bytes:
     """Return a message's bytes."""
-    return orjson.dumps(
+    rows = orjson.dumps(
         [
             news.name,
             news.boot,
@@ -122,6 +129,22 @@
             ],
         ]
     )
+    return zlib.compress(rows, PACK_LEVEL)
+
+
+def _unpack(data: bytes) -> bytes:
+    """Return a message's rows.
+
+    :raises ValueError: the bytes are none.
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        rows = unpacker.decompress(data, MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"no message of a peer: {error!r}") from error
+    if not unpacker.eof:
+        raise ValueError("no message of a peer: cut or too long")
+    return rows
 
 
 def _encode_rollout(news: RolloutNews) -> list[object]:
@@ -158,7 +181,7 @@
             warm,
             copies,
             crashes,
-        ) = orjson.loads(data)
+        ) = orjson.loads(_unpack(data))
         return PeerNews(
             str(name),
             int(boot),
--- a/packages/wagtailstream-router/wagtailstream_router/relay.py
+++ b/packages/wagtailstream-router/wagtailstream_router/relay.py
@@ -36,6 +36,11 @@
         """When the first event was passed on."""
         return self._first_at
 
+    @property
+    def count(self) -> int:
+        """How many events were passed on."""
+        return self._count
+
     @property
     def usual_gap_seconds(self) -> float:
         """The mean pause between events so far; 0 before the second."""
