Start tasks again that fail, and split the router's wiring

A task of the process's whole life (following the store, writing roll-outs, gossip) that failed in a way nobody foresaw ended in silence; the process went on with what it believed.

Before: test_a_task_that_fails_is_started_again waited for ever; after: it passes with the other tests of the router.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -1,14 +1,13 @@
 """Wires the router together, serves, and shuts down gracefully."""
 
 import asyncio
+import collections.abc
 import contextlib
 import functools
 import random
 import signal
-import socket
 import time
-
-from tornado import httpserver, httputil, netutil
+import typing
 
 from wagtailstream_router import (
     caller_server,
@@ -26,16 +25,17 @@
     forwarding,
     front,
     gossip,
+    listeners,
     metrics,
     node,
     page_server,
     peer_copy,
-    peer_news,
     replica,
     reply,
     request,
     rollout,
     settings_watch,
+    state_exchange,
     store,
     warm_prompts,
     wire,
@@ -48,15 +48,12 @@
 # Of the grace period, the part after which open requests are given up.
 GRACE_SHARE = 0.87
 METRICS_PATH = "/metrics"
-# Longer heads than any limit of the configuration are not read at all; up to
-# here a caller learns why it is refused.
-MAX_HEADER_BYTES = 256 * 1024
-# A caller's idle connection outlives the configuration's limit by this much,
-# so that a request in time never meets a close.
-IDLE_MARGIN_SECONDS = 5.0
-# A body that is not there by then is given up: twice the longest deadline of
-# the sheets.
-BODY_SECONDS = 30.0
+# Before a task that failed is started again: as often as roll-outs are looked
+# at, so that no bound is missed by it.
+RESTART_SECONDS = 0.25
+Run = collections.abc.Callable[
+    [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+]
 
 
 class Router:
@@ -90,13 +87,12 @@
         self._log = log
         self._counters = counters
         pace = settings.pace
-        self._boot = time.time_ns() // 1_000_000
         self._gossip = gossip.Gossip(
             settings.gossip_address,
             settings.zone,
             settings.seeds,
-            self._make_news,
-            self._take_news,
+            lambda sequence, peers: self._exchange.make_news(sequence, peers),
+            lambda news: self._exchange.take_news(news),
             log,
         )
         self._covers = peer_copy.PeerCovers(
@@ -135,6 +131,18 @@
             log, lambda: self._gossip.send(is_urgent=True)
         )
         self._warm = warm_prompts.WarmPrompts()
+        self._exchange = state_exchange.StateExchange(
+            settings,
+            state_exchange.SharedState(
+                self._operator,
+                self._entries,
+                self._members,
+                self._rollouts,
+                self._warm,
+                self._crashes,
+            ),
+            lambda: self._gossip.alive,
+        )
         self._pool = endpoint_link.LinkPool(headers)
         self._answerer = forwarding.Answerer(headers, log, counters)
         self._front = self._make_front(headers)
@@ -146,30 +154,27 @@
             counters,
         )
         self._probes = page_server.PageServer(self._make_probe_page)
-        self._is_draining = False
         self._refuses = False
         self._stop = asyncio.Event()
         self._started = asyncio.Event()
-        self._ports: dict[str, int] = {}
-        self._servers: list[httpserver.HTTPServer] = []
-        self._idle_seconds = settings.idle_seconds
+        self._listeners = listeners.Listeners(settings.idle_seconds)
 
     @property
     def callers_port(self) -> int:
         """The port that callers connect to, once it is open."""
-        return self._ports["callers"]
+        return self._listeners.port("callers")
 
     @property
     def copies_address(self) -> str:
         """Where peers read this instance's copies, once it is open."""
         host = self._settings.gossip_address.rpartition(":")[0]
-        return f"{host}:{self._ports['copies']}"
+        return f"{host}:{self._listeners.port('copies')}"
 
     @property
     def is_ready(self) -> bool:
         """Whether new connections are welcome."""
         return (
-            not self._is_draining
+            not self._exchange.is_draining
             and self._current.is_loaded
             and self._entries.copy.is_loaded
         )
@@ -183,7 +188,7 @@
     @property
     def idle_seconds(self) -> float:
         """How long a caller's idle connection is kept."""
-        return self._idle_seconds
+        return self._listeners.idle_seconds
 
     @property
     def endpoint_count(self) -> int:
@@ -248,104 +253,38 @@
             return
         await self._front.handle(call, caller)
 
-    def _make_news(
-        self, sequence: int, peers: tuple[str, ...]
-    ) -> peer_news.PeerNews:
-        loads = {
-            member.identity: peer_news.EndpointLoad(
-                member.in_flight, member.pending.remaining_ms
-            )
-            for member in self._members.members.values()
-            if member.in_flight
-        }
-        return peer_news.PeerNews(
-            self._settings.name,
-            self._boot,
-            sequence,
-            self._settings.zone,
-            self._settings.gossip_address,
-            self._is_draining,
-            loads,
-            self._rollouts.list_news(),
-            peers,
-            tuple(self._warm.take_waiting()),
-            self._list_copies(),
-            self._list_crashes(),
-        )
-
-    def _list_copies(self) -> tuple[peer_news.CopyNews, ...]:
-        operator = self._operator
-        entries = self._entries
-        ends = {
-            operator.topic_name: operator.copy.end,
-            entries.topic_name: self._members.changed_end,
-        }
-        return tuple(
-            peer_news.CopyNews(
-                one.topic_name,
-                one.copy.end,
-                ends[one.topic_name],
-                one.copy.age(),
-            )
-            for one in (operator, entries)
-            if one.copy.is_loaded
-        )
-
-    def _list_crashes(self) -> tuple[peer_news.CrashNews, ...]:
-        now = time.monotonic()
-        return tuple(
-            peer_news.CrashNews(one.digest, one.endpoint, now - one.at)
-            for one in self._crashes.crashes
-        )
-
-    def _take_news(self, news: peer_news.PeerNews | None) -> None:
-        """Take over the peers' loads and what they know of roll-outs."""
-        alive = self._gossip.alive
-        self._members.take_peer_loads([peer.news.loads for peer in alive])
-        if news is None:
-            return
-        self._warm.take_peer_notes(news.warm)
-        now = time.monotonic()
-        self._crashes.take_peer(
-            news.name,
-            [
-                crash_board.Crash(
-                    one.digest, one.endpoint, now - one.age_seconds
-                )
-                for one in news.crashes
-            ],
-        )
-        for one in news.rollouts:
-            self._rollouts.take_news(news.name, one)
-
     async def serve(self) -> None:
         """Serve until SIGTERM or SIGINT, then shut down gracefully."""
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._watch.note_signal)
-        self._listen("callers", self._server, self._settings.callers_address)
-        self._listen("ready", self._probes, self._settings.ready_address)
+        self._listeners.open(
+            "callers", self._server, self._settings.callers_address
+        )
+        self._listeners.open(
+            "ready", self._probes, self._settings.ready_address
+        )
         by_topic = {
             one.topic_name: one.copy for one in (self._operator, self._entries)
         }
         copies = page_server.PageServer(
             functools.partial(peer_copy.make_page, by_topic)
         )
-        self._listen("copies", copies, self._settings.gossip_address)
+        self._listeners.open("copies", copies, self._settings.gossip_address)
         if self._settings.metrics_address:
-            self._listen(
+            self._listeners.open(
                 "metrics", self._probes, self._settings.metrics_address
             )
         tasks = [
-            asyncio.ensure_future(coroutine)
-            for coroutine in (
-                self._operator.run(),
-                self._entries.run(),
-                self._conduct(),
-                self._gossip.run(),
-                self._prune(),
-                self._watch.run(),
+            asyncio.ensure_future(self._keep_running(run))
+            for run in (
+                self._operator.run,
+                self._entries.run,
+                self._conduct,
+                self._gossip.run,
+                self._prune,
+                self._watch.run,
             )
         ]
         self._started.set()
@@ -360,26 +299,18 @@
         self._topics.close()
         self._log.write("stopped")
 
-    def _listen(
-        self,
-        name: str,
-        delegate: httputil.HTTPServerConnectionDelegate,
-        address: str,
-    ) -> None:
-        host, _, port = address.rpartition(":")
-        sockets = netutil.bind_sockets(
-            int(port), host, socket.AF_INET, backlog=1024
-        )
-        server = httpserver.HTTPServer(
-            delegate,
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=1 << 30,
-            idle_connection_timeout=self._idle_seconds,
-            body_timeout=BODY_SECONDS,
-        )
-        server.add_sockets(sockets)
-        self._ports[name] = sockets[0].getsockname()[1]
-        self._servers.append(server)
+    async def _keep_running(self, run: Run) -> None:
+        """Run a task of the process's whole life, and again if it fails."""
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                # A fault of the program: without this task the process would
+                # go on with what it believed, and nobody would know.
+                self._log.write(
+                    "internal_error", task=run.__qualname__, detail=repr(error)
+                )
+            await asyncio.sleep(RESTART_SECONDS)
 
     def _make_probe_page(self, path: str) -> page_server.Page:
         if path == METRICS_PATH:
@@ -396,17 +327,10 @@
         self._counters.set(counter.ENDPOINTS_CRASHED, self._crashes.total)
 
     def _take_operator_change(self) -> None:
-        self._keep_idle(self._current.limits.idle_ms / 1000.0)
+        self._listeners.keep_idle(self._current.limits.idle_ms / 1000.0)
         self._rollouts.refresh()
         self._gossip.send(is_urgent=True)
 
-    def _keep_idle(self, seconds: float) -> None:
-        """Keep callers' idle connections for no less than a limit."""
-        seconds = max(self._settings.idle_seconds, seconds)
-        self._idle_seconds = seconds + IDLE_MARGIN_SECONDS
-        for server in self._servers:
-            server.conn_params.header_timeout = self._idle_seconds
-
     def _take_entries_change(self) -> None:
         before = self._members.last_changed_end
         if self._members.changed_end != before:
@@ -446,7 +370,7 @@
     async def _shut_down(self) -> None:
         """Leave the rotation, let what runs end, stop."""
         began = time.monotonic()
-        self._is_draining = True
+        self._exchange.is_draining = True
         self._server.is_closing = True
         self._log.write("draining", open=len(self._server.tasks))
         deadline = began + self._settings.bounds.grace_seconds * GRACE_SHARE
@@ -463,8 +387,7 @@
                         list(self._server.tasks),
                         return_when=asyncio.ALL_COMPLETED,
                     )
-        for server in self._servers:
-            server.stop()
+        self._listeners.stop()
         for task in list(self._server.tasks):
             task.cancel()
         # Lets the last bytes leave.
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -1,5 +1,7 @@
 """What is served follows the newest configuration, and never an older one."""
 
+import typing
+
 import pytest
 
 from tests.router import support
@@ -101,3 +103,21 @@
     reply = await fleet.call("POST", support.UNSAFE_PATH, b"x" * size)
     assert reply.status == 413
     assert endpoint.runs == 0
+
+
+async def test_a_task_that_fails_is_started_again(
+    fleet: support.Fleet,
+) -> None:
+    """The store's client fails in a way that nobody foresaw."""
+    await fleet.start()
+    strange: typing.Any = RuntimeError("strange")
+    fleet.platform.operator.fault = strange
+    fleet.platform.endpoints.fault = strange
+    line = await fleet.wait_for_line("internal_error")
+    assert "strange" in str(line["detail"])
+    fleet.platform.operator.fault = None
+    fleet.platform.endpoints.fault = None
+    await fleet.add_endpoint("plain-1", "plain")
+    fleet.platform.put_configuration(support.make_configuration(version=2))
+    await fleet.wait_for(lambda: fleet.router.configuration_version == 2)
+    await fleet.wait_for(lambda: fleet.router.endpoint_count == 1)
