Log each send with what decided it, and give each fleet its own addresses

A line 'sent' now holds endpoint, model, version, load, queue, estimate and time left; last lines name the endpoints that were tried.

Two tests that ran routers beside each other met on the port for metrics, since all fleets used the same loopback addresses; each process now has its own.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -111,7 +111,7 @@
         :raises exchange.AttemptError: nothing can be passed on.
         """
         began = time.monotonic()
-        self._tries.note_send(task)
+        self._tries.note_send(task, member)
         async with self._sender.open(
             task,
             member,
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -190,7 +190,7 @@
         task = self._task
         owner = self._owner
         member = chosen.member
-        owner._tries.note_send(task)
+        owner._tries.note_send(task, member, self._model, chosen.first_ms)
         owner._warm.note(member.identity, self._model, task.call)
         self._relay.begin_run()
         began = time.monotonic()
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -99,6 +99,7 @@
             metrics.Counter.FAILED_UNKNOWN if task.may_have_run else reason,
             cause=reason.value,
             sent=task.sent,
+            endpoints=sorted(task.tried),
             configuration=task.configuration_version,
         )
 
@@ -112,6 +113,7 @@
             if task.may_have_run
             else metrics.Counter.REFUSED_DEADLINE,
             sent=task.sent,
+            endpoints=sorted(task.tried),
             configuration=task.configuration_version,
         )
 
@@ -240,10 +242,39 @@
             return False
         return self._budget_of(task.service).allows(self._count_processes())
 
-    def note_send(self, task: job.Job) -> None:
-        """Count a send that follows the first one."""
+    def note_send(
+        self,
+        task: job.Job,
+        member: directory.Member,
+        model: str = "",
+        expected_ms: float | None = None,
+    ) -> None:
+        """Log a send, and count one that follows the first.
+
+        :param model: the model that is asked; "" for a plain service.
+        :param expected_ms: when the first token is expected; None where no
+            estimate decided.
+        """
         if task.sent > 0:
             self._budget_of(task.service).note_extra()
+        self._log.write_routine(
+            "sent",
+            request=task.call.identity,
+            endpoint=member.identity,
+            attempt=task.sent + 1,
+            route=task.route.name,
+            model=model or None,
+            version=member.entry.version,
+            load=member.load,
+            queue_ms=round(member.queue_ms),
+            usual_ms=round(member.health.duration_ms, 1),
+            bad_share=round(member.health.bad_share, 2),
+            expected_ms=round(expected_ms)
+            if expected_ms is not None
+            else None,
+            left_ms=round(seconds_left(task) * 1000.0),
+            configuration=task.configuration_version,
+        )
 
     def _budget_of(self, service: str) -> retry_budget.RetryBudget:
         budget = self._budgets.get(service)
--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 import pathlib
 import signal
 
@@ -24,6 +25,8 @@
 HOST = "fleet.test"
 KEY = "fleet-key"
 FIRST_ADDRESS = 11
+# Values of the second and of the third number of a loopback address.
+NETWORKS = 250
 # A router is ready within this after its start, also on a busy machine.
 START_LIMIT_SECONDS = 30.0
 # An answer that is not there by then is none: twice the callers' deadline.
@@ -60,7 +63,8 @@
         self.store = platform_store.PlatformStore()
         self.placed: list[Placed] = []
         self.addresses = [
-            f"127.0.0.{FIRST_ADDRESS + number}" for number in range(routers)
+            f"{_find_network()}.{FIRST_ADDRESS + number}"
+            for number in range(routers)
         ]
         self._ports = router_process.pick_ports()
         self.routers = [
@@ -205,3 +209,13 @@
                     address,
                 )
         return platform_caller.Reply(0, {}, b"", False)
+
+
+def _find_network() -> str:
+    """Return the start of loopback addresses that no other process uses.
+
+    Routers serve metrics on a port of their settings: fleets of processes that
+    run beside each other must not share an address.
+    """
+    number = os.getpid() % (NETWORKS * NETWORKS)
+    return f"127.{1 + number // NETWORKS}.{1 + number % NETWORKS}"
--- a/tests/integration/test_explain.py
+++ b/tests/integration/test_explain.py
@@ -127,6 +127,8 @@
     assert last["event"] == "failed"
     assert last["reason"] == "failed_unknown"
     assert last["sent"] == "1"
+    (sent,) = [line for line in before if line["event"] == "sent"]
+    assert sent["endpoint"] in last["endpoints"]
     (cut,) = [line for line in before if line["event"] == "attempt_failed"]
     assert cut["fault"] == "broken"
     assert cut["may_have_run"] == "True"
