Judge versions on the answers of a large fleet, and answer after a fault

closed without one. The sum that judges a roll-out took a binomial coefficient as a float; beyond some 1,030 answers with many late ones it overflowed, the request that brought the evidence failed with an internal error, and its connection was closed. The sum now goes by logarithms, and is left out where there is no more than expected. A request that meets a fault of the router before its answer began gets 502 in place of a closed connection.

A version that is late for a third of its answers is still told within 60; failures are judged as before.

--- a/packages/wagtailstream-router/wagtailstream_router/caller_server.py
+++ b/packages/wagtailstream-router/wagtailstream_router/caller_server.py
@@ -248,4 +248,7 @@
             self._owner.log.write(
                 "internal_error", request=call.identity, detail=repr(error)
             )
-            self._reply.abort()
+            if self._reply.is_started:
+                self._reply.abort()
+            else:
+                self._refuse(502, metrics.Counter.FAILED_INTERNAL)
--- a/packages/wagtailstream-router/wagtailstream_router/metrics.py
+++ b/packages/wagtailstream-router/wagtailstream_router/metrics.py
@@ -25,6 +25,7 @@
     FAILED_TIMEOUT = "failed_timeout"
     FAILED_BY_ENDPOINT = "failed_by_endpoint"
     FAILED_CUT = "failed_cut"
+    FAILED_INTERNAL = "failed_internal"
     CALLER_LEFT = "caller_left"
     RETRIED_UNREACHABLE = "retried_unreachable"
     RETRIED_SILENT = "retried_silent"
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -103,9 +103,12 @@
 # The least rate that the old version is taken to fail at.
 MIN_RATE = 0.004
 # The least rate at which its answers are taken to begin late.
-MIN_SLOW_RATE = 0.05
+MIN_SLOW_RATE = 0.1
 # The old version's rate counts this much more, for what moves between both.
 RATE_FACTOR = 1.5
+# The same for late answers, which come in bursts and more often from servers
+# whose caches are cold: a slow version is several times slower.
+SLOW_RATE_FACTOR = 2.0
 # Shares of the order's time between which the exposure rises from its first
 # value to all; sessions that began on the old version may move in the second
 # half only, and caches of the new servers warm up prompt by prompt.
@@ -120,16 +123,16 @@
 
 def is_bad(new: Evidence, old: Evidence) -> bool:
     """Return whether the new version does worse than the old one."""
-    fails = _is_worse(new.bad, new.total, old.bad_share, MIN_RATE)
-    begins_late = _is_worse(new.slow, new.total, old.slow_share, MIN_SLOW_RATE)
-    return fails or begins_late
+    failing_rate = max(MIN_RATE, RATE_FACTOR * old.bad_share)
+    late_rate = max(MIN_SLOW_RATE, SLOW_RATE_FACTOR * old.slow_share)
+    return _is_worse(new.bad, new.total, failing_rate) or _is_worse(
+        new.slow, new.total, late_rate
+    )
 
 
-def _is_worse(
-    count: int, total: int, old_share: float, min_rate: float
-) -> bool:
-    rate = max(min_rate, RATE_FACTOR * old_share)
-    if count < MIN_BAD:
+def _is_worse(count: int, total: int, rate: float) -> bool:
+    # What is no more than expected needs no sum.
+    if count < MIN_BAD or count <= rate * total:
         return False
     return chance_of_more(count, total, rate) < MAX_CHANCE
 
@@ -141,11 +144,17 @@
     :param total: all answers.
     :param rate: the chance of one to fail.
     """
-    rate = min(rate, 1.0)
-    fewer = sum(
-        math.comb(total, count) * rate**count * (1 - rate) ** (total - count)
-        for count in range(failures)
-    )
+    if rate >= 1.0:
+        return 1.0
+    if rate <= 0.0:
+        return 0.0 if failures else 1.0
+    # By logarithms: the terms of a large fleet's answers are beyond a float.
+    odds = math.log(rate) - math.log1p(-rate)
+    term = total * math.log1p(-rate)
+    fewer = 0.0
+    for count in range(failures):
+        fewer += math.exp(term)
+        term += math.log(total - count) - math.log(count + 1) + odds
     return max(0.0, 1.0 - fewer)
 
 
--- a/tests/router/test_decisions.py
+++ b/tests/router/test_decisions.py
@@ -1,5 +1,7 @@
 """The pure decisions: time, models, versions, budgets."""
 
+import math
+
 import hypothesis
 import hypothesis.strategies as st
 import pytest
@@ -73,6 +75,19 @@
             rollout_state.Evidence(80, 0, 12),
             False,
         ),
+        # A good version while it took on half of the requests of a large
+        # fleet (grown Kerlann quiet-1): it was taken back.
+        (
+            rollout_state.Evidence(264, 0, 57),
+            rollout_state.Evidence(1677, 0, 178),
+            False,
+        ),
+        # A third of the answers late, where few of the old version's are.
+        (
+            rollout_state.Evidence(60, 0, 20),
+            rollout_state.Evidence(300, 0, 24),
+            True,
+        ),
     ],
 )
 def test_a_version_is_judged_against_the_old_one(
@@ -83,6 +98,26 @@
     assert rollout_state.is_bad(new, old) is expected
 
 
+def test_answers_of_a_large_fleet_are_judged() -> None:
+    """A sum of plain products left the range of floats at 1,030 answers."""
+    old = rollout_state.Evidence(40_000, 0, 4_000)
+    assert not rollout_state.is_bad(rollout_state.Evidence(9_000, 0, 900), old)
+    assert rollout_state.is_bad(rollout_state.Evidence(9_000, 0, 2_500), old)
+    assert rollout_state.is_bad(rollout_state.Evidence(5_000, 3_000), old)
+
+
+def test_a_chance_is_that_of_the_plain_sum() -> None:
+    for failures, total, rate in ((3, 20, 0.1), (30, 60, 0.4), (1, 5, 0.004)):
+        fewer = sum(
+            math.comb(total, count)
+            * rate**count
+            * (1 - rate) ** (total - count)
+            for count in range(failures)
+        )
+        chance = rollout_state.chance_of_more(failures, total, rate)
+        assert chance == pytest.approx(1.0 - fewer, abs=1e-9)
+
+
 @hypothesis.given(st.integers(0, 40), st.integers(1, 60), st.floats(0.0, 1.0))
 def test_a_chance_is_a_chance(failures: int, extra: int, rate: float) -> None:
     chance = rollout_state.chance_of_more(failures, failures + extra, rate)
--- a/tests/router/test_forward_plain.py
+++ b/tests/router/test_forward_plain.py
@@ -7,6 +7,7 @@
 from standins import platform_caller, platform_endpoint
 from tests.router import support
 from wagtailstream_adapter import names
+from wagtailstream_router import reply, request
 
 BROKEN_PLANS = [
     platform_endpoint.Plan(answers=False),
@@ -193,3 +194,21 @@
     reply = await fleet.call("POST", support.UNSAFE_PATH, b"x")
     assert reply.status == 503
     assert "retry-after" in reply.headers
+
+
+async def test_a_fault_of_the_router_is_answered(
+    fleet: support.Fleet,
+) -> None:
+    """A closed connection would not tell whether the request was read."""
+    endpoint = await fleet.add_endpoint("plain-1", "plain")
+    await fleet.start()
+
+    async def fail(call: request.Request, caller: reply.Reply) -> None:
+        raise RuntimeError("a fault")
+
+    fleet.router._server.handle = fail
+    answer = await fleet.call("POST", support.UNSAFE_PATH, b"x")
+    assert answer.status == 502
+    assert endpoint.runs == 0
+    line = await fleet.wait_for_line("internal_error")
+    assert line["request"] == "request-1"
