Learn from late first tokens what is not known of a server

Lateness against known work is now a mean whose samples fade within three seconds; instances tell each other theirs and add them. It counts in the choice of a server and of a model; evidence on versions leaves it out, so that a slow version still shows.

Ruled out: older news of peers (pending work was small everywhere), the ladder (late prompts were late on the smallest model too).

--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -7,6 +7,7 @@
     endpoint,
     event_log,
     health,
+    lag,
     peer_news,
     replica,
     wire,
@@ -61,6 +62,8 @@
         self.pending = PendingWork()
         self.peer_in_flight = 0
         self.peer_pending_ms = 0.0
+        self.lag = lag.Lag()
+        self.peer_lags: tuple[lag.LagNews, ...] = ()
         self.doubtful_until: float | None = None
 
     @property
@@ -79,10 +82,20 @@
         return self.in_flight + self.peer_in_flight
 
     @property
-    def queue_ms(self) -> float:
+    def known_queue_ms(self) -> float:
         """Work that waits there, of this process and its peers."""
         return self.pending.remaining_ms + self.peer_pending_ms
 
+    @property
+    def lag_ms(self) -> float:
+        """How much later than that its answers began of late."""
+        return lag.combine((self.lag.news, *self.peer_lags))
+
+    @property
+    def queue_ms(self) -> float:
+        """The time until it begins with a request, by both."""
+        return self.known_queue_ms + self.lag_ms
+
 
 class Directory:
     """Keeps the members in step with the store's entries.
@@ -163,6 +176,9 @@
             ]
             member.peer_in_flight = sum(one.in_flight for one in shares)
             member.peer_pending_ms = sum(one.pending_ms for one in shares)
+            member.peer_lags = tuple(
+                one.lateness for one in shares if one.lateness.weight
+            )
 
     def refresh(self) -> None:
         """Take over what changed in the entries since the last time."""
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -104,6 +104,7 @@
             owner._sizes.relative(task.route.name, task.call),
         )
         self._climbs = True
+        self._began = 0.0
         self._reason = metrics.Counter.REFUSED_NO_ENDPOINT
 
     async def run(self) -> None:
@@ -123,6 +124,7 @@
                 if await self._attempt(chosen):
                     return
             except exchange.AttemptError as error:
+                self._note_silence(chosen, error.fault)
                 self._owner._tries.note_failure(task, member, error)
                 self._note_failed(member, error.fault)
                 self._reason = metrics.Counter.REFUSED_BY_ENDPOINT
@@ -130,6 +132,15 @@
                     self._owner._answerer.give_up(task, self._reason)
                     return
 
+    def _note_silence(
+        self, chosen: placement.Estimate, fault: health.Fault
+    ) -> None:
+        """Count a wait that was given up as lateness of the server."""
+        if fault is health.Fault.SILENT:
+            since = max(self._began, self._relay.last_at)
+            waited_ms = (time.monotonic() - since) * 1000.0
+            chosen.member.lag.note(waited_ms - chosen.known_ms)
+
     def _note_failed(
         self, member: directory.Member, fault: health.Fault
     ) -> None:
@@ -194,6 +205,7 @@
         owner._warm.note(member.identity, self._model, task.call)
         self._relay.begin_run()
         began = time.monotonic()
+        self._began = began
         async with owner._sender.open(
             task,
             member,
@@ -204,6 +216,9 @@
             self._relay.last_identity,
         ) as answer:
             head = answer.head
+            head_ms = (time.monotonic() - began) * 1000.0
+            if head.is_success:
+                member.lag.note(head_ms - chosen.known_ms)
             if head.is_not_run:
                 await answer.read_body()
                 raise exchange.AttemptError(
@@ -225,7 +240,8 @@
     ) -> rollout_state.Sample:
         first_at = self._relay.first_at or time.monotonic()
         first_ms = (first_at - began) * 1000.0
-        bound_ms = SLOW_FIRST_MS + SLOW_FIRST_FACTOR * chosen.first_ms
+        # Lateness of late is left out: a slow version shows by it.
+        bound_ms = SLOW_FIRST_MS + SLOW_FIRST_FACTOR * chosen.known_ms
         return rollout_state.Sample(is_slow=first_ms > bound_ms)
 
     async def _take_failure(self, answer: exchange.Exchange) -> bool:
@@ -309,7 +325,7 @@
 
     def _mean_queue_ms(self) -> float:
         ready = self._owner._members.list_ready(self._task.service)
-        return sum(one.queue_ms for one in ready) / max(1, len(ready))
+        return sum(one.known_queue_ms for one in ready) / max(1, len(ready))
 
     def _list_larger(self) -> list[ladder.Candidate]:
         task = self._task
--- a/packages/wagtailstream-router/wagtailstream_router/peer_news.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_news.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from wagtailstream_router import rollout_state
+from wagtailstream_router import lag, rollout_state
 
 # A message is packed fast rather than small: bytes between zones have a price.
 PACK_LEVEL = 1
@@ -20,10 +20,12 @@
 
     :param in_flight: requests under way.
     :param pending_ms: estimated work before first tokens.
+    :param lateness: how late answers began of late.
     """
 
     in_flight: int
     pending_ms: float
+    lateness: lag.LagNews = lag.LagNews()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +110,12 @@
             news.address,
             news.is_draining,
             {
-                identity: [load.in_flight, round(load.pending_ms)]
+                identity: [
+                    load.in_flight,
+                    round(load.pending_ms),
+                    round(load.lateness.mean_ms),
+                    load.lateness.weight,
+                ]
                 for identity, load in news.loads.items()
             },
             [_encode_rollout(one) for one in news.rollouts],
@@ -190,8 +197,17 @@
             str(address),
             bool(is_draining),
             {
-                str(identity): EndpointLoad(int(count), float(pending))
-                for identity, (count, pending) in loads.items()
+                str(identity): EndpointLoad(
+                    int(count),
+                    float(pending),
+                    lag.LagNews(float(mean_ms), float(weight)),
+                )
+                for identity, (
+                    count,
+                    pending,
+                    mean_ms,
+                    weight,
+                ) in loads.items()
             },
             tuple(map(_decode_rollout, rollouts)),
             tuple(map(str, peers)),
--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -43,11 +43,13 @@
 
     :param first_ms: until the first token, with all that is before it.
     :param work_ms: for the request's prompt alone.
+    :param known_ms: the part of `first_ms` that rests on known work.
     """
 
     member: directory.Member
     first_ms: float
     work_ms: float
+    known_ms: float
 
 
 def choose_plain(
@@ -105,7 +107,8 @@
         score = first_ms + RANK_MS * place + REREAD_MS_PER_TOKEN * unknown
         score += LOAD_MS * member.load
         if score < best_score:
-            best = Estimate(member, first_ms, work_ms)
+            known_ms = member.known_queue_ms + work_ms
+            best = Estimate(member, first_ms, work_ms, known_ms)
             best_score = score
     return best
 
--- a/packages/wagtailstream-router/wagtailstream_router/relay.py
+++ b/packages/wagtailstream-router/wagtailstream_router/relay.py
@@ -36,6 +36,11 @@
         """When the first event was passed on."""
         return self._first_at
 
+    @property
+    def last_at(self) -> float:
+        """When the last event was passed on; 0 before the first."""
+        return self._last_at
+
     @property
     def count(self) -> int:
         """How many events were passed on."""
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -82,12 +82,16 @@
         )
 
     def _list_loads(self) -> dict[str, peer_news.EndpointLoad]:
-        return {
+        loads = {
             member.identity: peer_news.EndpointLoad(
-                member.in_flight, member.pending.remaining_ms
+                member.in_flight, member.pending.remaining_ms, member.lag.news
             )
             for member in self._state.members.members.values()
-            if member.in_flight
+        }
+        return {
+            identity: load
+            for identity, load in loads.items()
+            if load.in_flight or load.lateness.weight
         }
 
     def _list_copies(self) -> tuple[peer_news.CopyNews, ...]:
