Explain a request by what its own instances saw

Cause: on a fleet of 21 the lines on a request's endpoints came from every instance: 40 lines 'endpoint_joined' before the four that told the cause. Lines on endpoints are now those of the instances that had the request; the test's line without a node, which no process writes, got one, and another instance's line must stay away.

Ruled out: a shorter span (what slowed an endpoint may lie seconds back).

--- a/packages/wagtailstream-router/wagtailstream_router/explanation.py
+++ b/packages/wagtailstream-router/wagtailstream_router/explanation.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-# Lines on an endpoint that explain a request it was sent, this close to it.
+# Lines on an endpoint that explain a request it was sent are this close to it.
 NEAR_SECONDS = 5.0
 
 
@@ -31,6 +31,8 @@
 ) -> list[str]:
     """Return the lines on a request and on its endpoints, in order of time.
 
+    Of the endpoints, those of the instances that had the request.
+
     :param request_id: the caller's id of the request.
     :param files: the processes' logs; other lines in them are passed over.
     """
@@ -39,12 +41,14 @@
     if not own:
         return []
     endpoints = {line.endpoint for line in own if line.endpoint}
+    nodes = {line.node for line in own}
     first = min(line.time for line in own) - NEAR_SECONDS
     last = max(line.time for line in own) + NEAR_SECONDS
     near = [
         line
         for line in lines
         if not line.request
+        and line.node in nodes
         and line.endpoint in endpoints
         and first <= line.time <= last
     ]
--- a/tests/router/test_logs.py
+++ b/tests/router/test_logs.py
@@ -61,7 +61,10 @@
     second.write_text(
         '12.0 b {"message": "attempt_failed", "request": "r1", "time": 2,'
         ' "endpoint": "e", "node": "b"}\n'
-        '{"message": "endpoint_paused", "endpoint": "e", "time": 1}\n'
+        '{"message": "endpoint_paused", "endpoint": "e", "time": 1,'
+        ' "node": "b"}\n'
+        '{"message": "endpoint_joined", "endpoint": "e", "time": 1,'
+        ' "node": "c"}\n'
         '{"message": "answered", "request": "r2", "time": 2}\n'
     )
     result = testing.CliRunner().invoke(
