Give the dispatcher's fake quarantine the life that may have ended

The fake takes it, and the test now checks that the life of a lost agent's endpoint is handed on.

Ruled out: the dispatcher.

--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -104,6 +104,7 @@
                 loaded=frozenset({VERSION}),
                 own_in_flight=0,
                 heard_at=0.0,
+                life=f"life of {name}",
             ),
             **state,
         )
@@ -129,7 +130,10 @@
 
 
 class FakeQuarantine:
-    """Holds no body in quarantine."""
+    """Holds no body in quarantine; keeps the lives that may have ended."""
+
+    def __init__(self) -> None:
+        self.doubtful_lives: list[str] = []
 
     def check(self, digest: str) -> None:
         return None
@@ -140,8 +144,8 @@
     def note_answer(self, digest: str) -> None:
         pass
 
-    async def note_death(self, digest: str, endpoint: str) -> None:
-        pass
+    async def note_death(self, digest: str, endpoint: str, life: str) -> None:
+        self.doubtful_lives.append(life)
 
 
 class World:
@@ -149,6 +153,7 @@
 
     def __init__(self, *fakes: FakeLink) -> None:
         self.counters = metrics.MemoryMetrics()
+        self.quarantine = FakeQuarantine()
         follower = types.SimpleNamespace(state=types.SimpleNamespace(offset=0))
         table = types.SimpleNamespace(
             list_links=lambda: fakes, follower=follower
@@ -160,7 +165,7 @@
             random.Random(1),
             self.counters,
             "entry",
-            typing.cast(typing.Any, FakeQuarantine()),
+            typing.cast(typing.Any, self.quarantine),
         )
         self.names = frozenset(fake.address for fake in fakes)
 
@@ -285,10 +290,14 @@
     first, other = FakeLink("first", "acx", "ae"), FakeLink("other", "ax")
     first.is_dead = is_dead
     other.in_flight = 3
-    outcome, content = await World(first, other).run()
+    world = World(first, other)
+    outcome, content = await world.run()
     assert len(first.runs) == runs
     assert outcome.is_ok() is not is_dead
     assert content == TEXT
+    # Only the agents are known to be gone: their endpoints may live.
+    doubtful = {"life of first"} if is_dead else set()
+    assert set(world.quarantine.doubtful_lives) >= doubtful
 
 
 @pytest.mark.parametrize("why", ["service", "busy", "suspect"])
