--- a/packages/wagtailstream-router/wagtailstream_router/job.py
+++ b/packages/wagtailstream-router/wagtailstream_router/job.py
@@ -19,6 +19,7 @@
     :param tried: the ids of the endpoints of these attempts.
     :param uncertain_runs: the number of attempts whose endpoint may have run
         the request.
+    :param version: the version chosen last; "" before the first choice.
     """
 
     call: request.Request
@@ -32,6 +33,7 @@
     sent: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     uncertain_runs: int = 0
+    version: str = ""
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -228,6 +228,7 @@
         self.refresh()
         self._record_versions(task.service, members)
         version = self._choose_version(task, members)
+        self._log_choice(task, version)
         chosen = [
             member for member in members if member.entry.version == version
         ]
@@ -235,6 +236,34 @@
             self._pins.record(task.call.session, version)
         return self._limit_exposed(task.service, version, chosen)
 
+    def _log_choice(self, task: job.Job, version: str) -> None:
+        """Log a request's version and what decided it, during a roll-out.
+
+        Further choices of the same version for the request are not logged.
+        """
+        progress = self._progress.get(task.service)
+        previous, task.version = task.version, version
+        if progress is None or version == previous:
+            return
+        if progress.stage is not rollout_state.Stage.RUNNING:
+            return
+        elapsed_share = progress.elapsed_share
+        self._log.write_routine(
+            "version_chosen",
+            request=task.call.identity,
+            session=task.call.session,
+            version=version,
+            previous=previous or None,
+            pinned=self._pins.find(task.call.session) or None,
+            part=task.call.shared_part,
+            elapsed_share=round(elapsed_share, 3),
+            exposure=round(
+                rollout_state.exposure_at(elapsed_share, self._exposure_bound),
+                3,
+            ),
+            order=progress.order_offset,
+        )
+
     def _limit_exposed(
         self, service: str, version: str, members: list[directory.Member]
     ) -> list[directory.Member]:
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -33,6 +33,7 @@
     copy: replica.Replica
     rollouts: rollout.Rollouts
     members: list[directory.Member]
+    log: event_log.MemoryEventLog
 
     def order(self, target: str, offset: int = 1) -> None:
         value = orjson.dumps(
@@ -79,11 +80,10 @@
 
 def make_harness() -> RolloutHarness:
     copy = replica.Replica()
-    rollouts = rollout.Rollouts(
-        copy, CODEC, 0.15, 5.0, event_log.MemoryEventLog()
-    )
+    log = event_log.MemoryEventLog()
+    rollouts = rollout.Rollouts(copy, CODEC, 0.15, 5.0, log)
     members = [make_member(f"old-{number}", "v1") for number in range(4)]
-    harness = RolloutHarness(copy, rollouts, members)
+    harness = RolloutHarness(copy, rollouts, members, log)
     assert set(harness.choose_versions(3)) == {"v1"}
     members += [make_member(f"new-{number}", "v2") for number in range(4)]
     return harness
@@ -133,6 +133,24 @@
         assert chosen[0].entry.version == "v1"
 
 
+def test_the_log_says_why_a_request_goes_to_a_version(
+    harness: RolloutHarness,
+) -> None:
+    task = make_job("r-1", "session-1")
+    for _ in range(2):
+        chosen = harness.rollouts.filter(task, harness.members)
+    lines = [
+        fields
+        for event, fields in harness.log.lines
+        if event == "version_chosen"
+    ]
+    assert len(lines) == 1
+    assert lines[0]["request"] == "r-1"
+    assert lines[0]["session"] == "session-1"
+    assert lines[0]["version"] == chosen[0].entry.version
+    assert lines[0]["elapsed_share"] == pytest.approx(0.0, abs=0.01)
+
+
 def test_a_bad_version_is_rolled_back_at_once(harness: RolloutHarness) -> None:
     for _ in range(30):
         harness.rollouts.record_answer(make_job("r"), harness.members[0], GOOD)
