--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -277,6 +277,7 @@
             "sent",
             request=task.call.identity,
             endpoint=member.identity,
+            session=task.call.session or None,
             attempt=task.sent + 1,
             route=task.route.name,
             model=model or None,
