Reproduce PINNED: sessions move when they come to another instance

Instances remember the version of a session only for themselves, while the platform spreads a session's requests over all instances: 20 of 538 consecutive pairs came to the same one.

--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -133,6 +133,19 @@
         assert chosen[0].entry.version == "v1"
 
 
+def test_a_session_at_another_instance_stays_on_its_version() -> None:
+    before, after = make_harness(), make_harness()
+    sessions = [f"session-{number}" for number in range(60)]
+    for session in sessions:
+        before.rollouts.filter(make_job(session, session), before.members)
+    after.order("v2")
+    for session in sessions:
+        chosen = after.rollouts.filter(
+            make_job("x" + session, session), after.members
+        )
+        assert chosen[0].entry.version == "v1"
+
+
 def test_the_log_says_why_a_request_goes_to_a_version(
     harness: RolloutHarness,
 ) -> None:
