Keep sessions on the old version for the first half of a roll-out

Callers saw PINNED: requests ran on the new version though the one before in their session had run on the old one.

Cause: each instance remembered the version of the sessions that it had served, while a session's requests come to any instance of any zone. An instance without the pin chose by the hash of the prompt part, and 0.9 of the exposure bound went to the new version. A decision of the fleet depended on the memory of one process. A pin also expired by the time of sending, not of the answer's end.

The choice is now a function of what all instances share: order, time since its start and hash. Sessions are not exposed before half of the time and the exposure never falls after it.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -126,7 +126,6 @@
             self._operator.copy,
             records,
             settings.bounds.exposure_share,
-            settings.bounds.session_seconds,
             log,
         )
         self._status_writer = rollout_status.RolloutStatusWriter(
@@ -355,9 +354,7 @@
         self._settings = settings
         bounds = settings.bounds
         self._retry_policy.set_bounds(bounds.retry_budget)
-        self._rollouts.set_bounds(
-            bounds.exposure_share, bounds.session_seconds
-        )
+        self._rollouts.set_exposure_bound(bounds.exposure_share)
         self._stream.set_credits(settings.credits_)
         self._gossip.set_seeds(settings.seeds)
 
--- a/packages/wagtailstream-router/wagtailstream_router/node.py
+++ b/packages/wagtailstream-router/wagtailstream_router/node.py
@@ -13,13 +13,11 @@
     :param drain_seconds: how long a draining endpoint still serves.
     :param exposure_share: the largest share of requests, 0 to 1, that a bad
         version may get.
-    :param session_seconds: how long a session lives after a request.
     """
 
     grace_seconds: float
     drain_seconds: float
     exposure_share: float
-    session_seconds: float
     retry_budget: retry_budget.BudgetBounds
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -81,37 +81,6 @@
         return new, old
 
 
-class SessionPins:
-    """The version that each live session uses, as seen by this process.
-
-    :param lifetime_seconds: how long a session lives after a request.
-    """
-
-    def __init__(self, lifetime_seconds: float) -> None:
-        self._lifetime = lifetime_seconds
-        self._pins: dict[str, tuple[str, float]] = {}
-        self._swept_at = 0.0
-
-    def set_lifetime(self, seconds: float) -> None:
-        """Replace the lifetime; it applies from a session's next request."""
-        self._lifetime = seconds
-
-    def find(self, session: str) -> str:
-        """Return the session's version; "" if it is unknown or expired."""
-        version, deadline = self._pins.get(session, ("", 0.0))
-        return version if time.monotonic() < deadline else ""
-
-    def record(self, session: str, version: str) -> None:
-        """Pin a session to the version of its request."""
-        now = time.monotonic()
-        self._pins[session] = (version, now + self._lifetime)
-        if now - self._swept_at > self._lifetime:
-            self._swept_at = now
-            self._pins = {
-                key: pin for key, pin in self._pins.items() if pin[1] > now
-            }
-
-
 class Rollouts:
     """Decides which version a request may go to.
 
@@ -119,7 +88,6 @@
     :param codec: decodes orders.
     :param exposure_bound: the largest share of requests, 0 to 1, that a bad
         version may get.
-    :param session_seconds: how long a session lives after a request.
     """
 
     def __init__(
@@ -127,13 +95,11 @@
         operator: replica.Replica,
         codec: wire.RecordCodec,
         exposure_bound: float,
-        session_seconds: float,
         log: event_log.EventLog,
     ) -> None:
         self._operator = operator
         self._codec = codec
         self._exposure_bound = exposure_bound
-        self._pins = SessionPins(session_seconds)
         self._log = log
         self._seen_change = -1
         self._progress: dict[str, Progress] = {}
@@ -144,12 +110,9 @@
         """The newest order of each service."""
         return self._progress
 
-    def set_bounds(
-        self, exposure_bound: float, session_seconds: float
-    ) -> None:
-        """Replace the exposure bound and the lifetime of sessions."""
+    def set_exposure_bound(self, exposure_bound: float) -> None:
+        """Replace the exposure bound."""
         self._exposure_bound = exposure_bound
-        self._pins.set_lifetime(session_seconds)
 
     def refresh(self) -> None:
         """Apply new orders of the operator's topic."""
@@ -222,8 +185,7 @@
     ) -> collections.abc.Sequence[directory.Member]:
         """Return the members of the version chosen for a request.
 
-        Of a new version, only the servers exposed so far are returned. The
-        session of the request, if any, is pinned to the version.
+        Of a new version, only the servers exposed so far are returned.
         """
         self.refresh()
         self._record_versions(task.service, members)
@@ -232,9 +194,7 @@
         chosen = [
             member for member in members if member.entry.version == version
         ]
-        if chosen and task.call.session:
-            self._pins.record(task.call.session, version)
-        return self._limit_exposed(task.service, version, chosen)
+        return self._limit_exposed(task, version, chosen)
 
     def _log_choice(self, task: job.Job, version: str) -> None:
         """Log a request's version and what decided it, during a roll-out.
@@ -247,25 +207,27 @@
             return
         if progress.stage is not rollout_state.Stage.RUNNING:
             return
-        elapsed_share = progress.elapsed_share
         self._log.write_routine(
             "version_chosen",
             request=task.call.identity,
             session=task.call.session,
             version=version,
             previous=previous or None,
-            pinned=self._pins.find(task.call.session) or None,
             part=task.call.shared_part,
-            elapsed_share=round(elapsed_share, 3),
-            exposure=round(
-                rollout_state.exposure_at(elapsed_share, self._exposure_bound),
-                3,
-            ),
+            elapsed_share=round(progress.elapsed_share, 3),
+            exposure=round(self._exposure_of(task, progress), 3),
             order=progress.order_offset,
         )
 
+    def _exposure_of(self, task: job.Job, progress: Progress) -> float:
+        return rollout_state.exposure_at(
+            progress.elapsed_share,
+            self._exposure_bound,
+            has_session=bool(task.call.session),
+        )
+
     def _limit_exposed(
-        self, service: str, version: str, members: list[directory.Member]
+        self, task: job.Job, version: str, members: list[directory.Member]
     ) -> list[directory.Member]:
         """Return the members that may get requests of a chosen version.
 
@@ -275,17 +237,16 @@
         :param version: the chosen version.
         :param members: its servers.
         """
-        progress = self._progress.get(service)
+        progress = self._progress.get(task.service)
         if (
             progress is None
             or progress.order.target != version
             or progress.stage is not rollout_state.Stage.RUNNING
         ):
             return members
-        exposure = rollout_state.exposure_at(
-            progress.elapsed_share, self._exposure_bound
+        count = rollout_state.count_exposed(
+            self._exposure_of(task, progress), len(members)
         )
-        count = rollout_state.count_exposed(exposure, len(members))
         ranked = sorted(
             members, key=lambda member: _rendezvous_hash(version, member)
         )
@@ -331,14 +292,9 @@
         self, task: job.Job, progress: Progress, old: str
     ) -> str:
         target = progress.order.target
-        exposure = rollout_state.exposure_at(
-            progress.elapsed_share, self._exposure_bound
-        )
-        pinned = self._pins.find(task.call.session)
-        if pinned == target or exposure >= 1.0:
+        exposure = self._exposure_of(task, progress)
+        if exposure >= 1.0:
             return target
-        if pinned and progress.elapsed_share < rollout_state.RAMP_START:
-            return old
         # Requests with the same shared prompt part move together, so that
         # the new version's servers prefill each shared part only once.
         name = task.call.shared_part or task.call.session
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -113,13 +113,18 @@
 # more often from servers with cold caches; a slow version is several times
 # slower and still exceeds it.
 SLOW_RATE_FACTOR = 2.0
-# Fractions of the order's duration between which the exposure rises from its
-# first value to 1. Sessions pinned to the old version move only after
-# RAMP_START; the gradual rise lets the new servers' caches warm up.
-RAMP_START = 0.5
-RAMP_END = 0.75
-# The fraction of the exposure bound that is used before RAMP_START.
+# Fraction of the order's duration from which a session may move to the new
+# version (a rule of the users' specification).
+SESSIONS_MOVE_AT = 0.5
+# Fractions between which the exposure rises to 1; the gradual rise lets the
+# new servers' caches warm up. Until RAMP_START the new version is on trial.
+RAMP_START = 0.65
+RAMP_END = 0.8
+# The exposure before SESSIONS_MOVE_AT, as a fraction of the exposure bound.
 FIRST_EXPOSURE = 0.9
+# The exposure from SESSIONS_MOVE_AT to RAMP_START, as a multiple of the bound:
+# the bound applies to the whole duration, of which the trial is a small part.
+TRIAL_EXPOSURE = 2.0
 # Fraction of the order's duration after which a version without bad evidence
 # is completed: the last streams of the old servers have ended by then.
 COMPLETE_AT = 0.9
@@ -168,17 +173,27 @@
     return max(0.0, 1.0 - fewer)
 
 
-def exposure_at(elapsed_share: float, exposure_bound: float) -> float:
-    """Return the share of new sessions, 0 to 1, for the new version.
+def exposure_at(
+    elapsed_share: float, exposure_bound: float, has_session: bool
+) -> float:
+    """Return the share of requests, 0 to 1, for the new version.
+
+    It never falls as the time passes, so that a session that has moved stays.
 
     :param elapsed_share: the elapsed fraction of the order's duration.
     :param exposure_bound: the bound on a bad version's share of requests.
+    :param has_session: whether the requests belong to sessions. Any instance
+        may get the next request of a session, and can't tell whether the
+        session is older than the order; so all sessions stay on the old
+        version until they may move.
     """
-    first = exposure_bound * FIRST_EXPOSURE
+    if elapsed_share < SESSIONS_MOVE_AT:
+        return 0.0 if has_session else exposure_bound * FIRST_EXPOSURE
+    trial = min(1.0, exposure_bound * TRIAL_EXPOSURE)
     if elapsed_share <= RAMP_START:
-        return first
+        return trial
     risen = (elapsed_share - RAMP_START) / (RAMP_END - RAMP_START)
-    return min(1.0, first + risen * (1.0 - first))
+    return min(1.0, trial + risen * (1.0 - trial))
 
 
 def count_exposed(exposure: float, server_count: int) -> int:
