Compare late answers of versions by their odds

Cause: a new version was bad if its share of late answers exceeded twice that of the old one. On the grown site 0.37 to 0.45 of the old version's answers count as late, since a server's batch delays first tokens more than estimated; twice that is nearly 1, and no version could exceed it.

The odds of a late answer are doubled instead: the same for small shares, and below 1 for all. That a version with the old one's shares is kept is covered by the cases beside it.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -109,10 +109,11 @@
 # The old version's rate of errors is multiplied by this, to allow for traffic
 # that moves between the versions.
 RATE_FACTOR = 1.5
-# The same for late answers. The factor is larger as they come in bursts and
-# more often from servers with cold caches; a slow version is several times
-# slower and still exceeds it.
-SLOW_RATE_FACTOR = 2.0
+# The odds of a late answer of the old version are multiplied by this. It is
+# larger than RATE_FACTOR as late answers come in bursts and more often from
+# servers with cold caches. A multiple of the rate would reach 1 where half of
+# the old version's answers are late; no version could then exceed it.
+SLOW_ODDS_FACTOR = 2.0
 # Fraction of the order's duration from which a session may move to the new
 # version (a rule of the users' specification).
 SESSIONS_MOVE_AT = 0.5
@@ -139,12 +140,19 @@
     :param old: the evidence on all other versions.
     """
     failing_rate = max(MIN_RATE, RATE_FACTOR * old.bad_share)
-    late_rate = max(MIN_SLOW_RATE, SLOW_RATE_FACTOR * old.slow_share)
+    late_rate = max(
+        MIN_SLOW_RATE, _multiply_odds(old.slow_share, SLOW_ODDS_FACTOR)
+    )
     return _is_worse(new.bad, new.total, failing_rate) or _is_worse(
         new.slow, new.total, late_rate
     )
 
 
+def _multiply_odds(chance: float, factor: float) -> float:
+    """Return the chance whose odds are a multiple of another chance's odds."""
+    return factor * chance / (1.0 - chance + factor * chance)
+
+
 def _is_worse(count: int, total: int, rate: float) -> bool:
     # Skips the sum for counts that are not above the expected value.
     if count < MIN_FAULTY_ANSWERS or count <= rate * total:
--- a/tests/router/test_decisions.py
+++ b/tests/router/test_decisions.py
@@ -89,6 +89,13 @@
             rollout_state.Evidence(300, 0, 24),
             True,
         ),
+        # Nine tenths of the answers are late, and two fifths of the old
+        # version's (the day hasty, grown Gulfmark deployment, seed 2).
+        (
+            rollout_state.Evidence(80, 0, 72),
+            rollout_state.Evidence(1706, 0, 732),
+            True,
+        ),
     ],
 )
 def test_a_new_version_is_compared_with_the_old_one(
