Count a late first token when it is late, not when its answer ends

Cause: a sample was recorded at the end of an answer. The answers of a slow version end seconds after the good ones of the same moment, and those that time out at their deadline or are given up by the caller were never counted.

A timer at the limit of each attempt's first token records it as late at once; a timely token is recorded when it arrives. Each first token is counted once. A stream that stalls later counts as late as before.

test_a_slow_version_is_rolled_back_before_its_answers_end ran into its time limit on the code before.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import time
 
 from wagtailstream_router import (
@@ -12,6 +13,7 @@
     engine_time,
     event_log,
     exchange,
+    first_token,
     forwarding,
     health,
     job,
@@ -35,11 +37,6 @@
 # credit fails over; the rest of the pause is for the prefill at the other
 # endpoint.
 STALL_SHARE = 0.6
-# A first token counts as slow evidence against a version if it takes longer
-# than this multiple of the expected time plus SLOW_FIRST_MS, the longest step
-# of an engine during a prefill.
-SLOW_FIRST_FACTOR = 4.0
-SLOW_FIRST_MS = 100.0
 # These replace MIN_TARGET_SHARE and STALL_SHARE if at most one further attempt
 # is allowed (`_has_spare_attempts`): it is reserved for a crash of the server
 # and not spent because the server is slow. On test days, answers then earned
@@ -114,6 +111,7 @@
         )
         self._may_escalate = True
         self._began = 0.0
+        self._watch: first_token.FirstTokenWatch | None = None
         self._reason = metrics.Counter.REFUSED_NO_ENDPOINT
 
     async def run(self) -> None:
@@ -160,13 +158,16 @@
         Other faults (unreachable, broken answer, refusal) concern the single
         server and are not counted.
         """
+        versions = self._owner._versions
         if fault is health.Fault.ERROR:
             sample = rollout_state.Sample(is_failed=True)
-        elif fault is health.Fault.SILENT:
-            sample = rollout_state.Sample(is_slow=True)
-        else:
-            return
-        self._owner._versions.record_answer(self._task, member, sample)
+            versions.record_answer(self._task, member, sample)
+        elif fault is health.Fault.SILENT and self._watch is not None:
+            if self._watch.has_arrived:
+                sample = rollout_state.Sample(is_slow=True)
+                versions.record_answer(self._task, member, sample)
+            else:
+                self._watch.record_silence()
 
     def _choose(self, model: str) -> placement.Estimate | None:
         task = self._task
@@ -230,9 +231,28 @@
         )
         owner._warm.record(member.identity, self._model, task.call)
         self._relay.start_attempt()
-        began = time.monotonic()
-        self._began = began
-        async with owner._sender.open(
+        self._began = time.monotonic()
+        watch = first_token.FirstTokenWatch(
+            chosen.known_ms,
+            functools.partial(owner._versions.record_answer, task, member),
+        )
+        self._watch = watch
+        try:
+            return await self._send(chosen, watch)
+        finally:
+            watch.stop()
+
+    async def _send(
+        self, chosen: placement.Estimate, watch: first_token.FirstTokenWatch
+    ) -> bool:
+        """Do the work of `_attempt`, which logs and watches it.
+
+        :raises exchange.AttemptError: see `_attempt`.
+        """
+        task = self._task
+        member = chosen.member
+        began = self._began
+        async with self._owner._sender.open(
             task,
             member,
             self._model,
@@ -253,24 +273,12 @@
             if not head.is_success:
                 return await self._handle_failure(answer)
             if not self._relay.is_started and self._escalate(answer):
-                owner._versions.record_answer(
-                    task, member, self._make_sample(chosen, began)
-                )
+                watch.record_arrival()
                 return False
-            await self._relay_events(answer)
+            await self._relay_events(answer, watch)
         self._record_success(chosen, began)
         return True
 
-    def _make_sample(
-        self, chosen: placement.Estimate, began: float
-    ) -> rollout_state.Sample:
-        first_at = self._relay.first_at or time.monotonic()
-        first_ms = (first_at - began) * 1000.0
-        # The bound leaves out the server's recent lag: a slow version raises
-        # that lag itself, so its answers would not count as slow.
-        bound_ms = SLOW_FIRST_MS + SLOW_FIRST_FACTOR * chosen.known_ms
-        return rollout_state.Sample(is_slow=first_ms > bound_ms)
-
     async def _handle_failure(self, answer: exchange.Exchange) -> bool:
         body = await answer.read_body()
         task = self._task
@@ -379,7 +387,9 @@
                 )
         return candidates
 
-    async def _relay_events(self, answer: exchange.Exchange) -> None:
+    async def _relay_events(
+        self, answer: exchange.Exchange, watch: first_token.FirstTokenWatch
+    ) -> None:
         while True:
             try:
                 async with asyncio.timeout(self._stall_seconds()):
@@ -393,6 +403,7 @@
                 raise exchange.AttemptError(
                     health.Fault.SILENT, True, "the stream stalled"
                 ) from error
+            watch.record_arrival()
             if chunk is None:
                 self._relay.end(answer)
                 return
@@ -422,9 +433,6 @@
         )
         member.health.record_success(relative_gap)
         owner._retry_policy.record_answer(task, member)
-        owner._versions.record_answer(
-            task, member, self._make_sample(chosen, began)
-        )
         owner._counters.count(metrics.Counter.ANSWERED)
         now = time.monotonic()
         owner._counters.observe(
--- a/tests/router/test_forward_stream.py
+++ b/tests/router/test_forward_stream.py
@@ -205,6 +205,56 @@
     await fleet.close()
 
 
+async def test_a_slow_version_is_rolled_back_before_its_answers_end() -> None:
+    """Late first tokens must count while the answers are still awaited.
+
+    They counted at the end of an answer (seen on the users' day hasty).
+    """
+    fleet = support.Fleet()
+    route = support.make_route(
+        "stream",
+        "streaming",
+        service="engine",
+        maxAttempts=1,
+        timeoutMs=120_000,
+    )
+    table = support.make_configuration(routes=[route])
+    fleet.platform.put_configuration(table)
+    old = await fleet.add_endpoint("engine-1", "engine")
+    old.default = make_plan(1, 2)
+    await fleet.start()
+    for number in range(20):
+        await call_stream(fleet, identity=f"before-{number}")
+    new = await fleet.add_endpoint("engine-2", "engine", version="v2")
+    gate = asyncio.Event()
+    new.default = dataclasses.replace(make_plan(1, 2), gate=gate)
+    fleet.platform.operator.put(
+        "rollout/engine",
+        b'{"service": "engine", "target": "v2", "durationS": 1000}',
+    )
+    await fleet.wait_for_event("rollout_ordered")
+    await fleet.wait_for(lambda: fleet.router.endpoint_count == 2)
+    calls = []
+    for number in range(100):
+        fields = support.make_stream_headers()
+        fields["X_Prefix_Hash"] = f"p{number}:200,q{number}:100"
+        call = fleet.call(
+            "POST",
+            support.STREAM_PATH,
+            b"prompt",
+            identity=f"r-{number}",
+            **fields,
+        )
+        calls.append(asyncio.ensure_future(call))
+    line = await fleet.wait_for_event("rollout_ended")
+    assert line["stage"] == "rolled_back"
+    assert not gate.is_set()
+    gate.set()
+    replies = await asyncio.gather(*calls)
+    assert all(reply.is_complete for reply in replies)
+    await fleet.close()
+
+
 async def test_a_slow_answer_is_awaited_if_no_retry_budget_is_left() -> None:
     """Without budget for another attempt, a slow answer must not be cut.
 
