Measure the time since an order by monotonic clocks

All instances took the earliest start of an order that any of them or the store named, as a Unix time. One instance whose wall clock is behind when the order comes moved the start back for all: its sessions and everyone's move in the first half. An instance whose own clock steps ahead moved them alone.

Found by reading; the users' record does not show a clock. The test test_a_wrong_wall_clock_does_not_end_the_first_half failed before (0.6 of the time had passed at once).

An instance that sees the order come remembers its monotonic time and tells peers the age. The wall clock's start in the written status serves only processes that started later and heard of no witness. Rounding of the age is downwards, since two instances that take the earlier of their times would else move it back with each message.

--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -1,6 +1,7 @@
 """The gossip message of an instance, and its encoding in a datagram."""
 
 import dataclasses
+import math
 import zlib
 
 import orjson
@@ -34,10 +35,13 @@
     """One instance's status of a roll-out and its evidence.
 
     :param evidence: counts of the instance's own answers, by version.
+    :param age_seconds: the time since the order came; None if no instance
+        that this one heard from saw it come.
     """
 
     status: rollout_state.Status
     evidence: dict[str, rollout_state.Evidence]
+    age_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -162,6 +166,15 @@
     return rows
 
 
+def _floor_to_ms(seconds: float | None) -> float | None:
+    """Return a time without the part below a millisecond.
+
+    Rounding up would let two instances that take the earlier of their times
+    move it back with each message.
+    """
+    return None if seconds is None else math.floor(seconds * 1000.0) / 1000.0
+
+
 def _encode_rollout(report: RolloutReport) -> list[object]:
     status = report.status
     return [
@@ -169,7 +182,7 @@
         status.target,
         status.stage.value,
         status.order_offset,
-        status.started_ms,
+        _floor_to_ms(report.age_seconds),
         {
             version: [counts.good, counts.bad, counts.slow]
             for version, counts in report.evidence.items()
@@ -237,7 +250,7 @@
 
 
 def _decode_rollout(row: list[object]) -> RolloutReport:
-    service, target, stage, offset, started_ms, evidence = row
+    service, target, stage, offset, age_seconds, evidence = row
     if not isinstance(evidence, dict):
         raise TypeError("evidence of a roll-out is not an object")
     status = rollout_state.Status(
@@ -245,7 +258,6 @@
         str(target),
         rollout_state.Stage(stage),
         int(str(offset)),
-        int(str(started_ms)),
     )
     return RolloutReport(
         status,
@@ -255,4 +267,5 @@
             )
             for version, (good, bad, slow) in evidence.items()
         },
+        None if age_seconds is None else float(str(age_seconds)),
     )
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -25,7 +25,9 @@
 
     :param order: the operator's order.
     :param order_offset: the offset of the order in the operator's topic.
-    :param started_ms: the Unix time at which a process first saw the order.
+    :param started_at: when the order came, by the monotonic clock.
+    :param is_start_witnessed: whether this process, or a peer that told it,
+        saw the order come. Otherwise the start is an estimate by wall clocks.
     :param is_written: whether the final stage is in the status topic.
     :param is_announced: whether any status is in the status topic.
     :param evidence: this process's evidence, by version.
@@ -34,7 +36,8 @@
 
     order: rollout_state.Order
     order_offset: int
-    started_ms: int
+    started_at: float
+    is_start_witnessed: bool
     stage: rollout_state.Stage = rollout_state.Stage.RUNNING
     is_written: bool = False
     is_announced: bool = False
@@ -60,14 +63,31 @@
             self.order.target,
             self.stage,
             self.order_offset,
-            self.started_ms,
         )
 
+    @property
+    def age_seconds(self) -> float:
+        """The time since the order came."""
+        return time.monotonic() - self.started_at
+
     @property
     def elapsed_share(self) -> float:
         """The elapsed time as a fraction of the order's duration."""
-        elapsed = time.time() - self.started_ms / 1000.0
-        return elapsed / max(self.order.duration_seconds, 0.001)
+        return self.age_seconds / max(self.order.duration_seconds, 0.001)
+
+    def merge_start(self, started_at: float, is_witnessed: bool) -> None:
+        """Merge a start: a witnessed one is better, then the earliest.
+
+        A wall clock may be wrong by seconds, and one wrong clock must not
+        decide for all instances.
+
+        :param started_at: the start, by the monotonic clock.
+        """
+        if is_witnessed is self.is_start_witnessed:
+            self.started_at = min(self.started_at, started_at)
+        elif is_witnessed:
+            self.started_at = started_at
+            self.is_start_witnessed = True
 
     def sum_evidence(
         self,
@@ -102,6 +122,7 @@
         self._exposure_bound = exposure_bound
         self._log = log
         self._seen_change = -1
+        self._was_loaded = False
         self._progress: dict[str, Progress] = {}
         self._seen_versions: dict[str, list[str]] = {}
 
@@ -116,14 +137,19 @@
 
     def refresh(self) -> None:
         """Apply new orders of the operator's topic."""
+        # Orders of the first read may have come long before this process.
+        is_witness = self._was_loaded
+        self._was_loaded = self._operator.is_loaded
         if self._operator.change == self._seen_change:
             return
         self._seen_change = self._operator.change
         for key, record in self._operator.records.items():
             if key.startswith(ORDER_KEY_PREFIX) and record.value is not None:
-                self._apply_order(record.value, record.offset)
+                self._apply_order(record.value, record.offset, is_witness)
 
-    def _apply_order(self, value: bytes, offset: int) -> None:
+    def _apply_order(
+        self, value: bytes, offset: int, is_witness: bool
+    ) -> None:
         try:
             order = self._codec.decode_order(value)
         except ValueError as error:
@@ -133,7 +159,7 @@
         if progress is not None and progress.order_offset >= offset:
             return
         self._progress[order.service] = Progress(
-            order, offset, int(time.time() * 1000.0)
+            order, offset, time.monotonic(), is_witness
         )
         self._log.write(
             "rollout_ordered",
@@ -141,17 +167,38 @@
             target=order.target,
             seconds=order.duration_seconds,
             offset=offset,
+            is_start_witnessed=is_witness,
         )
 
-    def merge_status(self, status: rollout_state.Status) -> None:
-        """Merge a roll-out's status from the store or a peer.
+    def merge_record(self, record: rollout_state.StatusRecord) -> None:
+        """Merge a status that an instance wrote to the store.
 
         Statuses of another order are ignored.
         """
+        progress = self._find_progress(record.status)
+        if progress is None:
+            return
+        age_seconds = max(0.0, time.time() - record.started_ms / 1000.0)
+        progress.merge_start(
+            time.monotonic() - age_seconds, is_witnessed=False
+        )
+        self.merge_status(record.status)
+
+    def _find_progress(self, status: rollout_state.Status) -> Progress | None:
+        """Return the progress of the order that a status is about."""
         progress = self._progress.get(status.service)
         if progress is None or progress.order_offset != status.order_offset:
+            return None
+        return progress
+
+    def merge_status(self, status: rollout_state.Status) -> None:
+        """Merge the stage of a roll-out that another instance ended.
+
+        Statuses of another order are ignored.
+        """
+        progress = self._find_progress(status)
+        if progress is None:
             return
-        progress.started_ms = min(progress.started_ms, status.started_ms)
         if (
             progress.stage is rollout_state.Stage.RUNNING
             and status.stage is not rollout_state.Stage.RUNNING
@@ -163,18 +210,25 @@
     ) -> None:
         """Merge a peer's evidence on a roll-out and its status."""
         self.refresh()
-        status = report.status
-        progress = self._progress.get(status.service)
-        if progress is None or progress.order_offset != status.order_offset:
+        progress = self._find_progress(report.status)
+        if progress is None:
             return
         progress.peer_evidence[peer] = report.evidence
-        self.merge_status(status)
+        if report.age_seconds is not None:
+            progress.merge_start(
+                time.monotonic() - report.age_seconds, is_witnessed=True
+            )
+        self.merge_status(report.status)
         self.evaluate(progress)
 
     def list_reports(self) -> tuple[peer_report.RolloutReport, ...]:
         """Return this process's status and evidence of all roll-outs."""
         return tuple(
-            peer_report.RolloutReport(progress.status, progress.evidence)
+            peer_report.RolloutReport(
+                progress.status,
+                progress.evidence,
+                progress.age_seconds if progress.is_start_witnessed else None,
+            )
             for progress in self._progress.values()
         )
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -31,13 +31,23 @@
     """The status of a roll-out, as exchanged with peers and the operator.
 
     :param order_offset: the offset of the order in the operator's topic.
-    :param started_ms: the Unix time at which a process first saw the order.
     """
 
     service: str
     target: str
     stage: Stage
     order_offset: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusRecord:
+    """A status as written for the operator and for later processes.
+
+    :param started_ms: the Unix time at which the order came, by the wall
+        clock of the process that wrote the record.
+    """
+
+    status: Status
     started_ms: int
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
@@ -1,5 +1,7 @@
 """Writes the status of roll-outs to the store, for the operator."""
 
+import time
+
 from wagtailstream_router import (
     errors,
     event_log,
@@ -57,7 +59,10 @@
         if not progress.needs_write:
             return
         stage = progress.stage
-        value = self._codec.encode_status(progress.status)
+        started_ms = (time.time() - progress.age_seconds) * 1000.0
+        value = self._codec.encode_status(
+            rollout_state.StatusRecord(progress.status, round(started_ms))
+        )
         try:
             await self._topic.append(key, value, page.next_offset)
         except errors.StoreConflictError:
@@ -67,15 +72,15 @@
 
     def _merge_written(self, progress: rollout.Progress, value: bytes) -> None:
         try:
-            status = self._codec.decode_status(value)
+            record = self._codec.decode_status(value)
         except ValueError as error:
             self._log.write("status_ignored", detail=str(error))
             return
-        if status.order_offset != progress.order_offset:
+        if record.status.order_offset != progress.order_offset:
             return
-        self._rollouts.merge_status(status)
-        if status.stage is progress.stage:
-            self._record_written(progress, status.stage)
+        self._rollouts.merge_record(record)
+        if record.status.stage is progress.stage:
+            self._record_written(progress, record.status.stage)
 
     def _record_written(
         self, progress: rollout.Progress, stage: rollout_state.Stage
--- a/packages/wagtailstream-router/wagtailstream_router/wire.py
+++ b/packages/wagtailstream-router/wagtailstream_router/wire.py
@@ -79,11 +79,11 @@
         """
 
     @abc.abstractmethod
-    def encode_status(self, status: rollout_state.Status) -> bytes:
+    def encode_status(self, record: rollout_state.StatusRecord) -> bytes:
         """Return a roll-out's status in the operator's format."""
 
     @abc.abstractmethod
-    def decode_status(self, value: bytes) -> rollout_state.Status:
+    def decode_status(self, value: bytes) -> rollout_state.StatusRecord:
         """Return a roll-out's status.
 
         :raises ValueError: the value is not a status.
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -32,9 +32,10 @@
     (
         peer_report.RolloutReport(
             rollout_state.Status(
-                "engine", "v2", rollout_state.Stage.RUNNING, 4, 1700
+                "engine", "v2", rollout_state.Stage.RUNNING, 4
             ),
             {"v2": rollout_state.Evidence(4, 1, 2)},
+            1.75,
         ),
     ),
     ("127.0.0.1:7001",),
--- a/tests/router/test_records.py
+++ b/tests/router/test_records.py
@@ -97,6 +97,7 @@
 
 def test_a_status_survives_encoding() -> None:
     status = rollout_state.Status(
-        "engine", "v2", rollout_state.Stage.ROLLED_BACK, 7, 1700
+        "engine", "v2", rollout_state.Stage.ROLLED_BACK, 7
     )
-    assert CODEC.decode_status(CODEC.encode_status(status)) == status
+    record = rollout_state.StatusRecord(status, 1700)
+    assert CODEC.decode_status(CODEC.encode_status(record)) == record
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -80,6 +80,7 @@
 
 def make_harness() -> RolloutHarness:
     copy = replica.Replica()
+    copy.reset(store.Page((), 0), time.monotonic())
     log = event_log.MemoryEventLog()
     rollouts = rollout.Rollouts(copy, CODEC, 0.15, log)
     members = [make_member(f"old-{number}", "v1") for number in range(4)]
@@ -152,7 +153,7 @@
     for harness in harnesses:
         harness.order("v2")
         progress = harness.rollouts.progress["engine"]
-        progress.started_ms -= int(0.7 * 20_000)
+        progress.started_at -= 0.7 * 20.0
         moved.append(set())
         for session in (f"session-{number}" for number in range(60)):
             chosen = harness.rollouts.filter(
@@ -164,6 +165,22 @@
     assert moved[0] == moved[1]
 
 
+def test_a_wrong_wall_clock_does_not_end_the_first_half(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    harness, peer = make_harness(), make_harness()
+    harness.order("v2")
+    now = time.time()
+    monkeypatch.setattr(time, "time", lambda: now - 12.0)
+    peer.order("v2")
+    (report,) = peer.rollouts.list_reports()
+    monkeypatch.undo()
+    harness.rollouts.handle_report("peer", report)
+    assert harness.rollouts.progress["engine"].elapsed_share < 0.5
+    monkeypatch.setattr(time, "time", lambda: now + 12.0)
+    assert harness.rollouts.progress["engine"].elapsed_share < 0.5
+
+
 def test_the_log_says_why_a_request_goes_to_a_version(
     harness: RolloutHarness,
 ) -> None:
@@ -211,7 +228,7 @@
     harness: RolloutHarness,
 ) -> None:
     old = rollout_state.Status(
-        "engine", "v2", rollout_state.Stage.COMPLETED, 0, 0
+        "engine", "v2", rollout_state.Stage.COMPLETED, 0
     )
     harness.rollouts.merge_status(old)
     progress = harness.rollouts.progress["engine"]
@@ -230,7 +247,7 @@
     page = await topic.read_newest()
     value = page.records[0].value
     assert value is not None
-    return CODEC.decode_status(value).stage
+    return CODEC.decode_status(value).status.stage
 
 
 async def test_several_processes_write_one_status() -> None:
@@ -261,6 +278,36 @@
     assert (await topic.read_newest()).next_offset == 1
 
 
+async def test_a_successor_takes_the_start_from_the_written_status(
+    harness: RolloutHarness,
+) -> None:
+    topic = store.MemoryTopic("status")
+    harness.rollouts.progress["engine"].started_at -= 12.0
+    await make_status_writer(harness, topic).step()
+    copy = replica.Replica()
+    log = event_log.MemoryEventLog()
+    rollouts = rollout.Rollouts(copy, CODEC, 0.15, log)
+    successor = RolloutHarness(copy, rollouts, harness.members, log)
+    successor.order("v2")
+    await make_status_writer(successor, topic).step()
+    progress = successor.rollouts.progress["engine"]
+    assert not progress.is_start_witnessed
+    assert progress.elapsed_share == pytest.approx(0.6, abs=0.1)
+
+
+async def test_a_witness_keeps_its_start_whatever_was_written(
+    harness: RolloutHarness,
+) -> None:
+    topic = store.MemoryTopic("status")
+    status = harness.rollouts.progress["engine"].status
+    record = rollout_state.StatusRecord(
+        status, round((time.time() - 12.0) * 1000.0)
+    )
+    await topic.append("rollout/engine", CODEC.encode_status(record), 0)
+    await make_status_writer(harness, topic).step()
+    assert harness.rollouts.progress["engine"].elapsed_share < 0.5
+
+
 async def test_an_unreachable_store_delays_the_status(
     harness: RolloutHarness,
 ) -> None:
