Bound the informational heads before an answer

An endpoint in trouble that sends 1xx heads without end kept its request waiting until the deadline, which was then answered 504, and kept the process busy with parsing: the loop over informational heads had no bound. A head without end was already bounded by the parser.

test_an_endless_head_is_a_broken_answer failed before for 1xx heads (504 instead of 502). The stand-in gains endpoints whose bytes do not end.

--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -23,6 +23,9 @@
 # Subtracted from an endpoint's keep-alive time, for network delay and late
 # timers, so that no request is sent as the endpoint closes.
 IDLE_MARGIN_SECONDS = 1.0
+# The most informational heads (1xx) before an answer; endpoints in the users'
+# specification send none.
+MAX_INFORMATIONAL_HEADS = 8
 # The keep-alive time of endpoints that don't state theirs.
 DEFAULT_IDLE_SECONDS = 4.0
 
@@ -130,9 +133,10 @@
     async def read_head(self) -> request.AnswerHead:
         """Return the head of the answer; informational heads are skipped.
 
-        :raises errors.BrokenAnswerError: the connection ended without one.
+        :raises errors.BrokenAnswerError: the connection ended without one, or
+            there were more than `MAX_INFORMATIONAL_HEADS` before it.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
@@ -148,6 +152,11 @@
             if head.idle_seconds is not None:
                 self._idle_seconds = head.idle_seconds
             return head
+        raise errors.BrokenAnswerError(
+            "read head",
+            self._address,
+            f"over {MAX_INFORMATIONAL_HEADS} informational heads",
+        )
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body; None at its end.
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -26,14 +26,15 @@
     """What follows the pieces of an answer.
 
     WHOLE ends the body properly, CUT aborts the connection, SILENT sends
-    nothing more and waits until the router closes, and EXTRA sends stray
-    bytes after the body.
+    nothing more and waits until the router closes, EXTRA sends stray bytes
+    after the body, and ENDLESS repeats the last piece until the router closes.
     """
 
     WHOLE = "whole"
     CUT = "cut"
     SILENT = "silent"
     EXTRA = "extra"
+    ENDLESS = "endless"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -50,6 +51,9 @@
     :param crashes: whether the endpoint stops listening and aborts the
         connection instead of answering.
     :param gate: event to await before the answer.
+    :param noise: bytes to repeat instead of an answer until the router
+        closes.
+    :param pause_seconds: the pause between repetitions.
     """
 
     status: int = 200
@@ -63,6 +67,8 @@
     answers: bool = True
     crashes: bool = False
     gate: asyncio.Event | None = None
+    noise: bytes = b""
+    pause_seconds: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -174,6 +180,8 @@
         if plan.crashes or not plan.answers:
             writer.transport.abort()
             return False
+        if plan.noise:
+            return await _repeat(plan.noise, plan.pause_seconds, writer)
         return await _write(plan, arrival, framing, reader, writer)
 
 
@@ -222,6 +230,20 @@
             return None
 
 
+async def _repeat(
+    data: bytes, pause_seconds: float, writer: asyncio.StreamWriter
+) -> bool:
+    """Write the same bytes until the router closes the connection.
+
+    :returns: False: the connection does not stay open.
+    """
+    while not writer.is_closing():
+        writer.write(data)
+        await writer.drain()
+        await asyncio.sleep(pause_seconds)
+    return False
+
+
 def _make_headers(plan: Plan, arrival: Arrival) -> list[tuple[str, str]]:
     echo = plan.echo
     if echo is None:
@@ -265,6 +287,9 @@
     if plan.end is End.SILENT:
         await reader.read(1)
         return False
+    if plan.end is End.ENDLESS:
+        repeated = framing.send(h11.Data(data=plan.pieces[-1])) or b""
+        return await _repeat(repeated, plan.pause_seconds, writer)
     writer.write(framing.send(h11.EndOfMessage()) or b"")
     if plan.end is End.EXTRA:
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
--- /dev/null
+++ b/tests/router/test_endless_bytes.py
@@ -0,0 +1,40 @@
+"""Endpoints whose bytes do not end occupy neither requests nor memory."""
+
+import pytest
+
+from standins import platform_endpoint
+from tests.router import support
+
+ENDLESS = platform_endpoint.End.ENDLESS
+HEADS = [b"\x00" * 4096, b"HTTP/1.1 100 Continue\r\n\r\n" * 20]
+
+
+@pytest.mark.parametrize("noise", HEADS)
+async def test_an_endless_head_is_a_broken_answer(
+    fleet: support.Fleet, noise: bytes
+) -> None:
+    endpoint = await fleet.add_endpoint("plain-1", "plain")
+    endpoint.plans = [platform_endpoint.Plan(noise=noise)]
+    await fleet.start()
+    reply = await fleet.call("POST", support.UNSAFE_PATH, b"body")
+    # 502 and not 504: the answer does not wait for the deadline.
+    assert reply.status == 502
+    await endpoint.disconnected.wait()
+
+
+@pytest.mark.parametrize(
+    "framing",
+    [platform_endpoint.Framing.CHUNKED, platform_endpoint.Framing.CLOSE],
+)
+async def test_an_endless_body_is_asked_for_elsewhere(
+    fleet: support.Fleet, framing: platform_endpoint.Framing
+) -> None:
+    first = await fleet.add_endpoint("plain-1", "plain")
+    second = await fleet.add_endpoint("plain-2", "plain")
+    plan = platform_endpoint.Plan(
+        pieces=(b"x" * 65536,), framing=framing, end=ENDLESS
+    )
+    first.plans = second.plans = [plan]
+    await fleet.start()
+    reply = await fleet.call("GET", support.SAFE_PATH)
+    assert (reply.status, reply.body) == (200, b"whole answer")
