Do not wait for the whole body of a refusal

An endpoint that states that nothing ran and whose body does not end kept the request until its deadline, which was then refused although another endpoint was free: the body was read to its end before the retry. It is read for a tenth of a second now, to keep the connection, which is closed if the body has not ended by then.

test_the_endless_body_of_a_refusal_delays_no_request failed before (503 at the deadline instead of the other endpoint's 200).

--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -21,6 +21,9 @@
 # Bounds the memory for one answer; all answers in the users' specification are
 # shorter.
 MAX_BODY_BYTES = 8 * 1024 * 1024
+# How long the body of a refusal is read, so that its connection can be used
+# again. It is shorter than opening another connection may take.
+REFUSAL_BODY_SECONDS = 0.1
 
 
 class AttemptError(Exception):
@@ -91,6 +94,20 @@
                 )
         return b"".join(chunks)
 
+    async def read_refusal(self) -> AttemptError:
+        """Return the error of an answer that states that nothing ran.
+
+        The body is read as far as it comes at once. The head says all that
+        matters; a connection with a body left is closed and not used again.
+        """
+        detail = f"status {self.head.status}"
+        try:
+            async with asyncio.timeout(REFUSAL_BODY_SECONDS):
+                await self.read_body()
+        except (AttemptError, TimeoutError) as error:
+            detail += f", incomplete body: {error!r}"
+        return AttemptError(health.Fault.SHED, False, detail)
+
 
 class Sender:
     """Sends attempts and counts the requests in flight at each endpoint.
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -138,10 +138,7 @@
         ) as answer:
             head = answer.head
             if head.is_not_run:
-                await answer.read_body()
-                raise exchange.AttemptError(
-                    health.Fault.SHED, False, f"status {head.status}"
-                )
+                raise await answer.read_refusal()
             body = await answer.read_body()
         if head.status >= 500 and self._record_server_error(task, member):
             return False
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -266,10 +266,7 @@
             if head.is_success:
                 member.lag.record(head_ms - chosen.known_ms)
             if head.is_not_run:
-                await answer.read_body()
-                raise exchange.AttemptError(
-                    health.Fault.SHED, False, f"status {head.status}"
-                )
+                raise await answer.read_refusal()
             if not head.is_success:
                 return await self._handle_failure(answer)
             if not self._relay.is_started and self._escalate(answer):
