Resume streams whose bytes complete no new event

An endpoint in trouble that sends bytes without end in a stream kept its caller waiting until the deadline: each chunk counted as progress, also one that completed no event or only events that the caller had. An event without end grew in memory, at the speed of the link, and was searched from its start with each chunk.

An incomplete event is bounded now, and the stall timeout runs since the last event that was relayed.

--- a/packages/wagtailstream-router/wagtailstream_router/event_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/event_stream.py
@@ -24,9 +24,9 @@
         self._rest = b""
 
     @property
-    def has_rest(self) -> bool:
-        """Whether the buffer holds an incomplete event."""
-        return bool(self._rest)
+    def rest_bytes(self) -> int:
+        """The length of the incomplete event in the buffer."""
+        return len(self._rest)
 
     def feed(self, data: bytes) -> list[Event]:
         """Add bytes and return the events that they complete.
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -387,9 +387,15 @@
     async def _relay_events(
         self, answer: exchange.Exchange, watch: first_token.FirstTokenWatch
     ) -> None:
+        count = self._relay.count
+        progress_at = time.monotonic()
         while True:
+            stall_seconds = self._stall_seconds()
+            stall_at = (
+                None if stall_seconds is None else progress_at + stall_seconds
+            )
             try:
-                async with asyncio.timeout(self._stall_seconds()):
+                async with asyncio.timeout_at(stall_at):
                     chunk = await answer.read_chunk()
             except TimeoutError as error:
                 if forwarding.seconds_left(self._task) <= 0.0:
@@ -405,6 +411,10 @@
                 self._relay.end(answer)
                 return
             self._relay.relay_chunk(answer, chunk)
+            if self._relay.count > count:
+                # Bytes that complete no new event are no progress.
+                count = self._relay.count
+                progress_at = time.monotonic()
 
     def _stall_seconds(self) -> float | None:
         task = self._task
--- a/packages/wagtailstream-router/wagtailstream_router/relay.py
+++ b/packages/wagtailstream-router/wagtailstream_router/relay.py
@@ -9,6 +9,10 @@
     job,
 )
 
+# Bounds the memory for an incomplete event; the events in the users'
+# specification have a few hundred bytes.
+MAX_EVENT_BYTES = 64 * 1024
+
 
 class Relay:
     """Relays one request's events, across all of its attempts."""
@@ -61,6 +65,9 @@
         """Relay the events that a chunk completes.
 
         Events that the caller received from an earlier attempt are skipped.
+
+        :raises exchange.AttemptError: an event is longer than
+            `MAX_EVENT_BYTES`.
         """
         for event in self._splitter.feed(data):
             if self._is_known(event):
@@ -73,13 +80,19 @@
             self._last_at = time.monotonic()
             if event.identity:
                 self._last_identity = event.identity
+        if self._splitter.rest_bytes > MAX_EVENT_BYTES:
+            raise exchange.AttemptError(
+                health.Fault.BROKEN,
+                True,
+                f"an event is longer than {MAX_EVENT_BYTES} bytes",
+            )
 
     def end(self, answer: exchange.Exchange) -> None:
         """Complete the answer to the caller.
 
         :raises exchange.AttemptError: the stream ended within an event.
         """
-        if self._splitter.has_rest:
+        if self._splitter.rest_bytes:
             raise exchange.AttemptError(
                 health.Fault.BROKEN, True, "the stream ended within an event"
             )
