--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -49,6 +49,7 @@
     endpoint: platform_endpoint.PlatformEndpoint
     route: proxy.Route
     service: str
+    version: str = "v1"
 
 
 class RouterFleet:
@@ -131,11 +132,12 @@
             await asyncio.sleep(0.05)
 
     async def add_endpoint(
-        self, identity: str, service: str
+        self, identity: str, service: str, version: str = "v1"
     ) -> ProxiedEndpoint:
         """Start an endpoint behind a proxy route and register it.
 
         :param service: ``engine`` or ``plain``.
+        :param version: the version of its software.
         """
         endpoint = platform_endpoint.PlatformEndpoint(identity)
         endpoint.default = (
@@ -144,7 +146,7 @@
         await endpoint.start()
         route = proxy.Route(endpoint.address)
         await route.listen()
-        proxied = ProxiedEndpoint(endpoint, route, service)
+        proxied = ProxiedEndpoint(endpoint, route, service, version)
         self.endpoints.append(proxied)
         self.put_endpoint_record(proxied, "ready")
         return proxied
@@ -157,7 +159,7 @@
             "service": proxied.service,
             "address": f"127.0.0.1:{proxied.route.port}",
             "zone": "zone-1",
-            "version": "v1",
+            "version": proxied.version,
             "slots": 8,
             "state": state,
             "born": 1,
@@ -191,14 +193,25 @@
         }
         self.store.put(names.OPERATOR_TOPIC, "config", orjson.dumps(table))
 
+    def put_rollout(self, target: str, seconds: float) -> None:
+        """Write an order to roll the engines out to a version.
+
+        :param seconds: the time for the roll-out.
+        """
+        order = {"service": "engine", "target": target, "durationS": seconds}
+        self.store.put(
+            names.OPERATOR_TOPIC, "rollout/engine", orjson.dumps(order)
+        )
+
     async def call(
-        self, request_id: str, kind: str, address: str
+        self, request_id: str, kind: str, address: str, session: str = ""
     ) -> platform_caller.Reply:
         """Send a request to a router and return its answer.
 
         :param request_id: the request's id.
         :param kind: kind of the route, as in ``ROUTES``.
         :param address: the router's IP address.
+        :param session: the session's id; "" for none.
         :returns: the answer; its status is 0 if none came in time.
         """
         fields = [
@@ -208,8 +221,10 @@
             (names.CREDENTIAL, KEY),
             (names.MODEL, "*"),
             (names.TOKENS, "300,40"),
-            (names.PROMPT_PARTS, f"aa:200,{request_id}:100"),
+            (names.PROMPT_PARTS, f"aa{session}:200,{request_id}:100"),
         ]
+        if session:
+            fields.append((names.SESSION, session))
         method = "GET" if kind == "safe" else "POST"
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CALL_LIMIT_SECONDS):
