Number the format of messages between routers

In a fleet of two releases one would take the other's field for its own and end the roll-out's first half at once. Messages of another format are ignored as those that can't be read are.

--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -8,6 +8,9 @@
 
 from wagtailstream_router import lag, rollout_state
 
+# The first field of a message. Raise it with each change of the fields:
+# messages of instances of another release are ignored, not misread.
+MESSAGE_FORMAT = 2
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -112,6 +115,7 @@
     """Return a message as a zlib-compressed JSON array."""
     rows = orjson.dumps(
         [
+            MESSAGE_FORMAT,
             report.name,
             report.boot,
             report.sequence,
@@ -197,6 +201,7 @@
     """
     try:
         (
+            message_format,
             name,
             boot,
             sequence,
@@ -210,6 +215,8 @@
             copies,
             crashes,
         ) = orjson.loads(_decompress(data))
+        if message_format != MESSAGE_FORMAT:
+            raise ValueError(f"message of format {message_format!r}")
         return PeerReport(
             str(name),
             int(boot),
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -48,6 +48,16 @@
     assert peer_report.decode(peer_report.encode(REPORT)) == REPORT
 
 
+def test_messages_of_another_release_are_value_errors(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(peer_report, "MESSAGE_FORMAT", 1)
+    data = peer_report.encode(REPORT)
+    monkeypatch.undo()
+    with pytest.raises(ValueError, match="format 1"):
+        peer_report.decode(data)
+
+
 @hypothesis.given(st.binary(max_size=60))
 def test_strange_datagrams_are_value_errors(data: bytes) -> None:
     with pytest.raises(ValueError, match=r".*"):
