Fail over when the body of a plain answer does not end

A repeatable request whose endpoint sent a head and then bytes without end, slowly, waited for its deadline and was answered 504 although another endpoint was free: only the head had a timeout, and the bound on the body's length was not reached. The body has the same timeout now. Requests that may run once only still wait, as nothing else is allowed.

test_a_body_that_trickles_is_asked_for_elsewhere failed before (504).

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -16,10 +16,10 @@
     request,
 )
 
-# The timeout for the head of an answer, after which a repeatable request fails
-# over: this multiple of the endpoint's mean duration, but at least
-# MIN_HEAD_TIMEOUT_SECONDS, the time that the slowest request in the users'
-# specification takes.
+# The timeout for the head of an answer, and then for its body, after which a
+# repeatable request fails over: this multiple of the endpoint's mean duration,
+# but at least MIN_HEAD_TIMEOUT_SECONDS, the time that the slowest request in
+# the users' specification takes.
 HEAD_TIMEOUT_FACTOR = 5.0
 MIN_HEAD_TIMEOUT_SECONDS = 0.15
 
@@ -99,10 +99,7 @@
         left = forwarding.seconds_left(task)
         if not task.route.may_repeat or not self._has_spare_attempts(task):
             return left
-        failover_seconds = (
-            member.health.duration_ms / 1000.0 * HEAD_TIMEOUT_FACTOR
-        )
-        return min(left, max(MIN_HEAD_TIMEOUT_SECONDS, failover_seconds))
+        return min(left, _failover_seconds(member))
 
     def _may_fail_over(self, task: job.Job) -> bool:
         """Return whether a request may be sent to another endpoint.
@@ -139,7 +136,7 @@
             head = answer.head
             if head.is_not_run:
                 raise await answer.read_refusal()
-            body = await answer.read_body()
+            body = await self._read_body(task, answer)
         if head.status >= 500 and self._record_server_error(task, member):
             return False
         if head.is_success:
@@ -149,6 +146,33 @@
         self._send_answer(task, member, head, body)
         return True
 
+    async def _read_body(
+        self, task: job.Job, answer: exchange.Exchange
+    ) -> bytes:
+        """Return the body of an answer, unless it has to fail over.
+
+        Also the last attempt allowed may be used for that: an endpoint that
+        began to answer has run the request, and sends the body at once.
+
+        :raises exchange.AttemptError: the body is incomplete or too long, or
+            it did not end in time and the request may be sent elsewhere.
+        """
+        reading = asyncio.ensure_future(answer.read_body())
+        timeout_seconds = _failover_seconds(answer.member)
+        try:
+            while True:
+                await asyncio.wait({reading}, timeout=timeout_seconds)
+                if reading.done():
+                    return reading.result()
+                if self._may_fail_over(task):
+                    raise exchange.AttemptError(
+                        health.Fault.SILENT,
+                        True,
+                        f"no whole body in {timeout_seconds:.3f} s",
+                    )
+        finally:
+            reading.cancel()
+
     def _record_server_error(
         self, task: job.Job, member: directory.Member
     ) -> bool:
@@ -182,3 +206,9 @@
             configuration=task.configuration_version,
         )
         task.reply.send(head.status, head.headers, body)
+
+
+def _failover_seconds(member: directory.Member) -> float:
+    """Return the time after which an endpoint counts as silent."""
+    usual_seconds = member.health.duration_ms / 1000.0
+    return max(MIN_HEAD_TIMEOUT_SECONDS, usual_seconds * HEAD_TIMEOUT_FACTOR)
--- a/tests/router/test_endless_bytes.py
+++ b/tests/router/test_endless_bytes.py
@@ -44,6 +44,23 @@
     assert (reply.status, reply.body) == (200, b"whole answer")
 
 
+async def test_a_body_that_trickles_is_asked_for_elsewhere(
+    fleet: support.Fleet,
+) -> None:
+    first = await fleet.add_endpoint("plain-1", "plain")
+    second = await fleet.add_endpoint("plain-2", "plain")
+    plan = platform_endpoint.Plan(
+        pieces=(b"x",),
+        framing=platform_endpoint.Framing.CHUNKED,
+        end=ENDLESS,
+        pause_seconds=0.01,
+    )
+    first.plans = second.plans = [plan]
+    await fleet.start()
+    reply = await fleet.call("GET", support.SAFE_PATH)
+    assert (reply.status, reply.body) == (200, b"whole answer")
+
+
 async def test_the_endless_body_of_a_refusal_delays_no_request(
     fleet: support.Fleet,
 ) -> None:
