Use all servers of a new version if no other is left

While an order is running only part of the new version's servers get requests. That held also where the old version's servers were gone: all requests then went to one server of the new version, with the exposure of 0 that sessions have in the first half, and to a tenth of them before.

test_all_new_servers_are_used_if_no_old_one_is_left failed before.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -239,7 +239,8 @@
     ) -> collections.abc.Sequence[directory.Member]:
         """Return the members of the version chosen for a request.
 
-        Of a new version, only the servers exposed so far are returned.
+        Of a new version, only the servers exposed so far are returned, unless
+        there are no others.
         """
         self.refresh()
         self._record_versions(task.service, members)
@@ -248,6 +249,8 @@
         chosen = [
             member for member in members if member.entry.version == version
         ]
+        if len(chosen) == len(members):
+            return chosen
         return self._limit_exposed(task, version, chosen)
 
     def _log_choice(self, task: job.Job, version: str) -> None:
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -181,6 +181,14 @@
     assert harness.rollouts.progress["engine"].elapsed_share < 0.5
 
 
+def test_all_new_servers_are_used_if_no_old_one_is_left(
+    harness: RolloutHarness,
+) -> None:
+    new = [m for m in harness.members if m.entry.version == "v2"]
+    for session in ("", "session-1"):
+        assert harness.rollouts.filter(make_job("r-1", session), new) == new
+
+
 def test_the_log_says_why_a_request_goes_to_a_version(
     harness: RolloutHarness,
 ) -> None:
