--- a/packages/wagtailstream-router/wagtailstream_router/first_token.py
+++ b/packages/wagtailstream-router/wagtailstream_router/first_token.py
@@ -51,7 +51,7 @@
         self._record_once(is_late=True)
 
     def stop(self) -> None:
-        """End the watch of an attempt that ended; record nothing more."""
+        """Stop the timer, at the end of the attempt."""
         self._timer.cancel()
 
     def _record_once(self, is_late: bool) -> None:
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -238,16 +238,17 @@
         )
         self._watch = watch
         try:
-            return await self._send(chosen, watch)
+            return await self._send_and_relay(chosen, watch)
         finally:
             watch.stop()
 
-    async def _send(
+    async def _send_and_relay(
         self, chosen: placement.Estimate, watch: first_token.FirstTokenWatch
     ) -> bool:
-        """Do the work of `_attempt`, which logs and watches it.
+        """Send the request and relay the answer, as `_attempt` says.
 
-        :raises exchange.AttemptError: see `_attempt`.
+        :param watch: told when the first token arrives.
+        :raises exchange.AttemptError: the attempt failed.
         """
         task = self._task
         member = chosen.member
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -131,7 +131,8 @@
 # new servers' caches warm up. Until RAMP_START the new version is on trial.
 RAMP_START = 0.65
 RAMP_END = 0.8
-# The exposure before SESSIONS_MOVE_AT, as a fraction of the exposure bound.
+# The exposure of requests without a session before SESSIONS_MOVE_AT, as a
+# fraction of the exposure bound.
 FIRST_EXPOSURE = 0.9
 # The exposure from SESSIONS_MOVE_AT to RAMP_START, as a multiple of the bound:
 # the bound applies to the whole duration, of which the trial is a small part.
