--- a/tests/router/test_forward_stream.py
+++ b/tests/router/test_forward_stream.py
@@ -45,6 +45,21 @@
     )
 
 
+async def call_own_prompt(
+    fleet: support.Fleet, number: int
+) -> "support.platform_caller.Reply":
+    """Send a request that shares no prompt part with other numbers."""
+    fields = support.make_stream_headers()
+    fields["X_Prefix_Hash"] = f"p{number}:200,q{number}:100"
+    return await fleet.call(
+        "POST",
+        support.STREAM_PATH,
+        b"prompt",
+        identity=f"r-{number}",
+        **fields,
+    )
+
+
 async def test_a_confident_answer_of_the_smallest_model_is_passed_on(
     fleet: support.Fleet,
 ) -> None:
@@ -190,15 +205,7 @@
     number = 0
     while not fleet.has_event("rollout_ended"):
         number += 1
-        fields = support.make_stream_headers()
-        fields["X_Prefix_Hash"] = f"p{number}:200,q{number}:100"
-        await fleet.call(
-            "POST",
-            support.STREAM_PATH,
-            b"prompt",
-            identity=f"r-{number}",
-            **fields,
-        )
+        await call_own_prompt(fleet, number)
     line = await fleet.wait_for_event("rollout_ended")
     assert line["stage"] == "rolled_back"
     assert new.runs <= 5
@@ -234,18 +241,10 @@
     )
     await fleet.wait_for_event("rollout_ordered")
     await fleet.wait_for(lambda: fleet.router.endpoint_count == 2)
-    calls = []
-    for number in range(100):
-        fields = support.make_stream_headers()
-        fields["X_Prefix_Hash"] = f"p{number}:200,q{number}:100"
-        call = fleet.call(
-            "POST",
-            support.STREAM_PATH,
-            b"prompt",
-            identity=f"r-{number}",
-            **fields,
-        )
-        calls.append(asyncio.ensure_future(call))
+    calls = [
+        asyncio.ensure_future(call_own_prompt(fleet, number))
+        for number in range(100)
+    ]
     line = await fleet.wait_for_event("rollout_ended")
     assert line["stage"] == "rolled_back"
     assert not gate.is_set()
