Let sessions move a little after half of a roll-out

Instances count from their first read of the order, the users from the confirmation that the operator gets. The read may come first, by as much as the store's answer takes; sessions would then move in the last moment of the first half. Found by reading; not seen in a play.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -125,8 +125,10 @@
 # the old version's answers are late; no version could then exceed it.
 SLOW_ODDS_FACTOR = 2.0
 # Fraction of the order's duration from which a session may move to the new
-# version (a rule of the users' specification).
-SESSIONS_MOVE_AT = 0.5
+# version: half of it (a rule of the users' specification), and a margin, as an
+# instance may read the order before the operator's confirmation, from which
+# the users count.
+SESSIONS_MOVE_AT = 0.5 + 0.02
 # Fractions between which the exposure rises to 1; the gradual rise lets the
 # new servers' caches warm up. Until RAMP_START the new version is on trial.
 RAMP_START = 0.65
