--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -1,7 +1,6 @@
 """Rolls services out to new versions gradually, or rolls them back."""
 
 import collections.abc
-import dataclasses
 import time
 
 import xxhash
@@ -12,6 +11,7 @@
     job,
     peer_report,
     replica,
+    rollout_progress,
     rollout_state,
     wire,
 )
@@ -19,88 +19,6 @@
 ORDER_KEY_PREFIX = "rollout/"
 
 
-@dataclasses.dataclass
-class Progress:
-    """The state of one roll-out order in this process.
-
-    :param order: the operator's order.
-    :param order_offset: the offset of the order in the operator's topic.
-    :param started_at: when the order came, by the monotonic clock.
-    :param is_start_witnessed: whether this process, or a peer that told it,
-        saw the order come. Otherwise the start is an estimate by wall clocks.
-    :param is_written: whether the final stage is in the status topic.
-    :param is_announced: whether any status is in the status topic.
-    :param evidence: this process's evidence, by version.
-    :param peer_evidence: each peer's evidence, by version.
-    """
-
-    order: rollout_state.Order
-    order_offset: int
-    started_at: float
-    is_start_witnessed: bool
-    stage: rollout_state.Stage = rollout_state.Stage.RUNNING
-    is_written: bool = False
-    is_announced: bool = False
-    evidence: dict[str, rollout_state.Evidence] = dataclasses.field(
-        default_factory=dict
-    )
-    peer_evidence: dict[str, dict[str, rollout_state.Evidence]] = (
-        dataclasses.field(default_factory=dict)
-    )
-
-    @property
-    def needs_write(self) -> bool:
-        """Whether the status has to be written for the operator."""
-        if self.stage is rollout_state.Stage.RUNNING:
-            return not self.is_announced
-        return not self.is_written
-
-    @property
-    def status(self) -> rollout_state.Status:
-        """The status that is written for the operator."""
-        return rollout_state.Status(
-            self.order.service,
-            self.order.target,
-            self.stage,
-            self.order_offset,
-        )
-
-    @property
-    def age_seconds(self) -> float:
-        """The time since the order came."""
-        return time.monotonic() - self.started_at
-
-    @property
-    def elapsed_share(self) -> float:
-        """The elapsed time as a fraction of the order's duration."""
-        return self.age_seconds / max(self.order.duration_seconds, 0.001)
-
-    def merge_start(self, started_at: float, is_witnessed: bool) -> None:
-        """Merge a start: a witnessed one is better, then the earliest.
-
-        A wall clock may be wrong by seconds, and one wrong clock must not
-        decide for all instances.
-
-        :param started_at: the start, by the monotonic clock.
-        """
-        if is_witnessed is self.is_start_witnessed:
-            self.started_at = min(self.started_at, started_at)
-        elif is_witnessed:
-            self.started_at = started_at
-            self.is_start_witnessed = True
-
-    def sum_evidence(
-        self,
-    ) -> tuple[rollout_state.Evidence, rollout_state.Evidence]:
-        """Return the evidence on the new version and on all others."""
-        new = rollout_state.Evidence()
-        old = rollout_state.Evidence()
-        for by_version in (self.evidence, *self.peer_evidence.values()):
-            for version, evidence in by_version.items():
-                (new if version == self.order.target else old).add(evidence)
-        return new, old
-
-
 class Rollouts:
     """Decides which version a request may go to.
 
@@ -123,11 +41,11 @@
         self._log = log
         self._seen_change = -1
         self._was_loaded = False
-        self._progress: dict[str, Progress] = {}
+        self._progress: dict[str, rollout_progress.Progress] = {}
         self._seen_versions: dict[str, list[str]] = {}
 
     @property
-    def progress(self) -> dict[str, Progress]:
+    def progress(self) -> dict[str, rollout_progress.Progress]:
         """The newest order of each service."""
         return self._progress
 
@@ -158,7 +76,7 @@
         progress = self._progress.get(order.service)
         if progress is not None and progress.order_offset >= offset:
             return
-        self._progress[order.service] = Progress(
+        self._progress[order.service] = rollout_progress.Progress(
             order, offset, time.monotonic(), is_witness
         )
         self._log.write(
@@ -184,7 +102,9 @@
         )
         self.merge_status(record.status)
 
-    def _find_progress(self, status: rollout_state.Status) -> Progress | None:
+    def _find_progress(
+        self, status: rollout_state.Status
+    ) -> rollout_progress.Progress | None:
         """Return the progress of the order that a status is about."""
         progress = self._progress.get(status.service)
         if progress is None or progress.order_offset != status.order_offset:
@@ -276,7 +196,9 @@
             order=progress.order_offset,
         )
 
-    def _exposure_of(self, task: job.Job, progress: Progress) -> float:
+    def _exposure_of(
+        self, task: job.Job, progress: rollout_progress.Progress
+    ) -> float:
         return rollout_state.exposure_at(
             progress.elapsed_share,
             self._exposure_bound,
@@ -346,7 +268,7 @@
         return self._choose_during_rollout(task, progress, old_versions[0])
 
     def _choose_during_rollout(
-        self, task: job.Job, progress: Progress, old: str
+        self, task: job.Job, progress: rollout_progress.Progress, old: str
     ) -> str:
         target = progress.order.target
         exposure = self._exposure_of(task, progress)
@@ -378,7 +300,7 @@
         ).count(sample)
         self.evaluate(progress)
 
-    def evaluate(self, progress: Progress) -> None:
+    def evaluate(self, progress: rollout_progress.Progress) -> None:
         """Roll back on bad evidence, or complete when the time is over."""
         if progress.stage is not rollout_state.Stage.RUNNING:
             return
@@ -389,7 +311,10 @@
             self._end(progress, rollout_state.Stage.COMPLETED, "time")
 
     def _end(
-        self, progress: Progress, stage: rollout_state.Stage, cause: str
+        self,
+        progress: rollout_progress.Progress,
+        stage: rollout_state.Stage,
+        cause: str,
     ) -> None:
         progress.stage = stage
         progress.is_written = False
--- /dev/null
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -0,0 +1,88 @@
+"""The state of one roll-out order in this process."""
+
+import dataclasses
+import time
+
+from wagtailstream_router import rollout_state
+
+
+@dataclasses.dataclass
+class Progress:
+    """The state of one roll-out order in this process.
+
+    :param order: the operator's order.
+    :param order_offset: the offset of the order in the operator's topic.
+    :param started_at: when the order came, by the monotonic clock.
+    :param is_start_witnessed: whether this process, or a peer that told it,
+        saw the order come. Otherwise the start is an estimate by wall clocks.
+    :param is_written: whether the final stage is in the status topic.
+    :param is_announced: whether any status is in the status topic.
+    :param evidence: this process's evidence, by version.
+    :param peer_evidence: each peer's evidence, by version.
+    """
+
+    order: rollout_state.Order
+    order_offset: int
+    started_at: float
+    is_start_witnessed: bool
+    stage: rollout_state.Stage = rollout_state.Stage.RUNNING
+    is_written: bool = False
+    is_announced: bool = False
+    evidence: dict[str, rollout_state.Evidence] = dataclasses.field(
+        default_factory=dict
+    )
+    peer_evidence: dict[str, dict[str, rollout_state.Evidence]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    @property
+    def needs_write(self) -> bool:
+        """Whether the status has to be written for the operator."""
+        if self.stage is rollout_state.Stage.RUNNING:
+            return not self.is_announced
+        return not self.is_written
+
+    @property
+    def status(self) -> rollout_state.Status:
+        """The status that is written for the operator."""
+        return rollout_state.Status(
+            self.order.service,
+            self.order.target,
+            self.stage,
+            self.order_offset,
+        )
+
+    @property
+    def age_seconds(self) -> float:
+        """The time since the order came."""
+        return time.monotonic() - self.started_at
+
+    @property
+    def elapsed_share(self) -> float:
+        """The elapsed time as a fraction of the order's duration."""
+        return self.age_seconds / max(self.order.duration_seconds, 0.001)
+
+    def merge_start(self, started_at: float, is_witnessed: bool) -> None:
+        """Merge a start: a witnessed one is better, then the earliest.
+
+        A wall clock may be wrong by seconds, and one wrong clock must not
+        decide for all instances.
+
+        :param started_at: the start, by the monotonic clock.
+        """
+        if is_witnessed is self.is_start_witnessed:
+            self.started_at = min(self.started_at, started_at)
+        elif is_witnessed:
+            self.started_at = started_at
+            self.is_start_witnessed = True
+
+    def sum_evidence(
+        self,
+    ) -> tuple[rollout_state.Evidence, rollout_state.Evidence]:
+        """Return the evidence on the new version and on all others."""
+        new = rollout_state.Evidence()
+        old = rollout_state.Evidence()
+        for by_version in (self.evidence, *self.peer_evidence.values()):
+            for version, evidence in by_version.items():
+                (new if version == self.order.target else old).add(evidence)
+        return new, old
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
@@ -6,6 +6,7 @@
     errors,
     event_log,
     rollout,
+    rollout_progress,
     rollout_state,
     store,
     wire,
@@ -46,7 +47,7 @@
             if progress.needs_write:
                 await self._write(progress)
 
-    async def _write(self, progress: rollout.Progress) -> None:
+    async def _write(self, progress: rollout_progress.Progress) -> None:
         """Write a roll-out's status unless another process has done so.
 
         :raises errors.StoreError: the store gave no usable answer.
@@ -70,7 +71,9 @@
             return
         self._record_written(progress, stage)
 
-    def _merge_written(self, progress: rollout.Progress, value: bytes) -> None:
+    def _merge_written(
+        self, progress: rollout_progress.Progress, value: bytes
+    ) -> None:
         try:
             record = self._codec.decode_status(value)
         except ValueError as error:
@@ -83,7 +86,7 @@
             self._record_written(progress, record.status.stage)
 
     def _record_written(
-        self, progress: rollout.Progress, stage: rollout_state.Stage
+        self, progress: rollout_progress.Progress, stage: rollout_state.Stage
     ) -> None:
         progress.is_announced = True
         if stage is progress.stage:
