--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -17,6 +17,9 @@
 )
 
 ORDER_KEY_PREFIX = "rollout/"
+# Shortest time between two log lines on the evidence of a running roll-out; it
+# bounds the volume of the log.
+EVIDENCE_LOG_SECONDS = 1.0
 
 
 class Rollouts:
@@ -43,6 +46,8 @@
         self._was_loaded = False
         self._progress: dict[str, rollout_progress.Progress] = {}
         self._seen_versions: dict[str, list[str]] = {}
+        self._logged_evidence: dict[str, rollout_progress.Totals] = {}
+        self._evidence_log_due = float("-inf")
 
     @property
     def progress(self) -> dict[str, rollout_progress.Progress]:
@@ -310,6 +315,33 @@
         elif progress.elapsed_share >= rollout_state.COMPLETE_AT and new.total:
             self._end(progress, rollout_state.Stage.COMPLETED, "time")
 
+    def log_evidence(self) -> None:
+        """Log the evidence of running roll-outs that has changed."""
+        now = time.monotonic()
+        if now < self._evidence_log_due:
+            return
+        for service, progress in self._progress.items():
+            totals = progress.sum_evidence()
+            if (
+                progress.stage is not rollout_state.Stage.RUNNING
+                or self._logged_evidence.get(service) == totals
+            ):
+                continue
+            self._logged_evidence[service] = totals
+            self._evidence_log_due = now + EVIDENCE_LOG_SECONDS
+            self._log.write(
+                "rollout_evidence",
+                service=service,
+                target=progress.order.target,
+                order=progress.order_offset,
+                peers=len(progress.peer_evidence),
+                own_answers=sum(
+                    evidence.total for evidence in progress.evidence.values()
+                ),
+                elapsed_share=round(progress.elapsed_share, 3),
+                **_describe(totals),
+            )
+
     def _end(
         self,
         progress: rollout_progress.Progress,
@@ -318,22 +350,29 @@
     ) -> None:
         progress.stage = stage
         progress.is_written = False
-        new, old = progress.sum_evidence()
         self._log.write(
             "rollout_ended",
             service=progress.order.service,
             target=progress.order.target,
             stage=stage.value,
             cause=cause,
-            new_good=new.good,
-            new_bad=new.bad,
-            new_slow=new.slow,
-            old_good=old.good,
-            old_bad=old.bad,
-            old_slow=old.slow,
             elapsed_share=round(progress.elapsed_share, 3),
+            **_describe(progress.sum_evidence()),
         )
 
 
+def _describe(totals: rollout_progress.Totals) -> dict[str, int]:
+    """Return the counts on both versions as fields of a log line."""
+    new, old = totals
+    return {
+        "new_good": new.good,
+        "new_bad": new.bad,
+        "new_slow": new.slow,
+        "old_good": old.good,
+        "old_bad": old.bad,
+        "old_slow": old.slow,
+    }
+
+
 def _rendezvous_hash(version: str, member: directory.Member) -> int:
     return xxhash.xxh32_intdigest(f"{version}|{member.identity}".encode())
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -5,6 +5,9 @@
 
 from wagtailstream_router import rollout_state
 
+# The evidence on the new version, and that on all others.
+Totals = tuple[rollout_state.Evidence, rollout_state.Evidence]
+
 
 @dataclasses.dataclass
 class Progress:
@@ -76,9 +79,7 @@
             self.started_at = started_at
             self.is_start_witnessed = True
 
-    def sum_evidence(
-        self,
-    ) -> tuple[rollout_state.Evidence, rollout_state.Evidence]:
+    def sum_evidence(self) -> Totals:
         """Return the evidence on the new version and on all others."""
         new = rollout_state.Evidence()
         old = rollout_state.Evidence()
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
@@ -42,6 +42,7 @@
         :raises errors.StoreError: the store gave no usable answer.
         """
         self._rollouts.refresh()
+        self._rollouts.log_evidence()
         for progress in list(self._rollouts.progress.values()):
             self._rollouts.evaluate(progress)
             if progress.needs_write:
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -207,6 +207,24 @@
     assert lines[0]["elapsed_share"] == pytest.approx(0.0, abs=0.01)
 
 
+async def test_the_log_tells_the_evidence_before_there_is_a_verdict(
+    harness: RolloutHarness,
+) -> None:
+    status_writer = make_status_writer(harness, store.MemoryTopic("status"))
+    harness.rollouts.record_answer(make_job("r"), harness.members[0], GOOD)
+    harness.rollouts.record_answer(make_job("r"), harness.members[-1], FAILED)
+    for _ in range(2):
+        await status_writer.step()
+    lines = [
+        fields
+        for event, fields in harness.log.lines
+        if event == "rollout_evidence"
+    ]
+    assert len(lines) == 1
+    assert (lines[0]["new_bad"], lines[0]["old_good"]) == (1, 1)
+    assert (lines[0]["own_answers"], lines[0]["peers"]) == (2, 0)
+
+
 def test_a_bad_version_is_rolled_back_at_once(harness: RolloutHarness) -> None:
     for _ in range(30):
         harness.rollouts.record_answer(make_job("r"), harness.members[0], GOOD)
