--- /dev/null
+++ b/tests/router/test_rollout_plain.py
@@ -0,0 +1,142 @@
+"""Roll-outs of plain services: exposure, evidence and retries."""
+
+import asyncio
+import collections.abc
+import time
+
+import orjson
+
+from standins import platform_endpoint
+from tests.router import support
+from wagtailstream_adapter import records
+from wagtailstream_router import rollout_state
+
+FAILING = platform_endpoint.Plan(500, (b"internal error",))
+
+
+async def start(
+    fleet: support.Fleet,
+) -> list[platform_endpoint.PlatformEndpoint]:
+    """Start a router before two endpoints of v1; return two of v2."""
+    for number in range(2):
+        await fleet.add_endpoint(f"old-{number}", "plain")
+    await fleet.start()
+    for number in range(20):
+        await fleet.call("GET", support.SAFE_PATH, identity=f"first-{number}")
+    return [
+        await fleet.add_endpoint(f"new-{number}", "plain", version="v2")
+        for number in range(2)
+    ]
+
+
+async def order(fleet: support.Fleet, seconds: float = 20.0) -> None:
+    """Order a roll-out to v2 and wait until the router has seen it."""
+    value = {"service": "plain", "target": "v2", "durationS": seconds}
+    fleet.platform.operator.put("rollout/plain", orjson.dumps(value))
+    await fleet.wait_for(
+        lambda: (
+            fleet.has_event("rollout_ordered")
+            and fleet.router.endpoint_count == 4
+        )
+    )
+
+
+async def read_stage(fleet: support.Fleet) -> rollout_state.Stage | None:
+    page = await fleet.platform.status.read_newest()
+    if not page.records or page.records[0].value is None:
+        return None
+    codec = records.PlatformRecords()
+    return codec.decode_status(page.records[0].value).status.stage
+
+
+async def wait_for_stage(
+    fleet: support.Fleet, stage: rollout_state.Stage
+) -> None:
+    while await read_stage(fleet) is not stage:
+        await asyncio.sleep(0.01)
+
+
+def count_runs(
+    endpoints: collections.abc.Iterable[platform_endpoint.PlatformEndpoint],
+) -> int:
+    return sum(endpoint.runs for endpoint in endpoints)
+
+
+async def test_a_bad_version_of_a_plain_service_is_rolled_back(
+    fleet: support.Fleet,
+) -> None:
+    new = await start(fleet)
+    for endpoint in new:
+        endpoint.default = FAILING
+    await order(fleet)
+    for number in range(100):
+        await fleet.call("GET", support.SAFE_PATH, identity=f"get-{number}")
+        await fleet.call(
+            "POST", support.UNSAFE_PATH, b"x", identity=f"post-{number}"
+        )
+    await asyncio.wait_for(
+        wait_for_stage(fleet, rollout_state.Stage.ROLLED_BACK), 10.0
+    )
+    assert 0 < count_runs(new) < 0.15 * 200
+    before = count_runs(new)
+    for number in range(50):
+        reply = await fleet.call(
+            "POST", support.UNSAFE_PATH, b"x", identity=f"after-{number}"
+        )
+        assert reply.status == 200
+    assert count_runs(new) == before
+
+
+async def test_a_slow_version_of_a_plain_service_is_rolled_back(
+    fleet: support.Fleet,
+) -> None:
+    new = await start(fleet)
+    gate = asyncio.Event()
+    for endpoint in new:
+        endpoint.default = platform_endpoint.Plan(gate=gate)
+    await order(fleet)
+    calls = [
+        asyncio.ensure_future(
+            fleet.call(
+                "POST", support.UNSAFE_PATH, b"x", identity=f"post-{number}"
+            )
+        )
+        for number in range(60)
+    ]
+    ended = await asyncio.wait_for(fleet.wait_for_event("rollout_ended"), 2.0)
+    gate.set()
+    assert ended["stage"] == "rolled_back"
+    replies = await asyncio.gather(*calls)
+    assert {reply.status for reply in replies} == {200}
+
+
+async def test_a_retry_after_a_new_version_failed_goes_to_the_old_one(
+    fleet: support.Fleet,
+) -> None:
+    new = await start(fleet)
+    for endpoint in new:
+        endpoint.default = FAILING
+    await order(fleet)
+    for number in range(100):
+        reply = await fleet.call(
+            "GET", support.SAFE_PATH, identity=f"get-{number}"
+        )
+        assert reply.status == 200
+    assert count_runs(new) > 0
+
+
+async def test_a_good_version_of_a_plain_service_is_completed(
+    fleet: support.Fleet,
+) -> None:
+    new = await start(fleet)
+    await order(fleet, seconds=1.0)
+    deadline = time.monotonic() + 20.0
+    number = 0
+    while await read_stage(fleet) is not rollout_state.Stage.COMPLETED:
+        assert time.monotonic() < deadline
+        number += 1
+        await fleet.call("GET", support.SAFE_PATH, identity=f"get-{number}")
+    before = count_runs(new)
+    for number in range(30):
+        await fleet.call("GET", support.SAFE_PATH, identity=f"after-{number}")
+    assert count_runs(new) == before + 30
