Let the watch for late first tokens serve answers of plain services

FirstTokenWatch becomes AnswerWatch and takes its limit; the margin for a step of an engine moves to the stream forwarder. The limits of first tokens are unchanged.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -9,11 +9,11 @@
 import time
 
 from wagtailstream_router import (
+    answer_watch,
     directory,
     engine_time,
     event_log,
     exchange,
-    first_token,
     forwarding,
     health,
     job,
@@ -45,6 +45,9 @@
 LAST_STALL_SHARE = 2.0
 # The longest pause between events where a route states none.
 DEFAULT_GAP_SECONDS = 1.0
+# The longest step of an engine during a prefill; a first token is late only if
+# it exceeds its limit by that much.
+FIRST_TOKEN_MARGIN_MS = 100.0
 
 
 class StreamForwarder:
@@ -111,7 +114,7 @@
         )
         self._may_escalate = True
         self._began = 0.0
-        self._watch: first_token.FirstTokenWatch | None = None
+        self._watch: answer_watch.AnswerWatch | None = None
         self._reason = metrics.Counter.REFUSED_NO_ENDPOINT
 
     async def run(self) -> None:
@@ -232,8 +235,9 @@
         owner._warm.record(member.identity, self._model, task.call)
         self._relay.start_attempt()
         self._began = time.monotonic()
-        watch = first_token.FirstTokenWatch(
-            chosen.known_ms,
+        limit_ms = answer_watch.LATE_FACTOR * chosen.known_ms
+        watch = answer_watch.AnswerWatch(
+            FIRST_TOKEN_MARGIN_MS + limit_ms,
             functools.partial(owner._versions.record_answer, task, member),
         )
         self._watch = watch
@@ -243,7 +247,7 @@
             watch.stop()
 
     async def _send_and_relay(
-        self, chosen: placement.Estimate, watch: first_token.FirstTokenWatch
+        self, chosen: placement.Estimate, watch: answer_watch.AnswerWatch
     ) -> bool:
         """Send the request and relay the answer, as `_attempt` says.
 
@@ -386,7 +390,7 @@
         return candidates
 
     async def _relay_events(
-        self, answer: exchange.Exchange, watch: first_token.FirstTokenWatch
+        self, answer: exchange.Exchange, watch: answer_watch.AnswerWatch
     ) -> None:
         count = self._relay.count
         progress_at = time.monotonic()
