Do not count a request that fails at any version as evidence on one

Callers of a good new version of a plain service lost it again: the roll-out was rolled back and missed by its time limit.

Cause: some requests fail at every endpoint.

Now repeats go to the settled version only, which also exposes the version on trial to fewer requests, and an error counts only if it was the request's only one.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -1,7 +1,6 @@
 """Forwards requests to plain services; answers are read completely first."""
 
 import asyncio
-import collections.abc
 import functools
 import random
 import time
@@ -73,6 +72,19 @@
                 await self._try_endpoints(task)
         except TimeoutError:
             self._responder.answer_timed_out(task)
+        finally:
+            self._record_failure_evidence(task)
+
+    def _record_failure_evidence(self, task: job.Job) -> None:
+        """Count an error of one endpoint as evidence on its version.
+
+        A request that fails at a second endpoint is the likely cause itself,
+        and says nothing about a version.
+        """
+        if len(task.failed_at) == 1:
+            self._versions.record_answer(
+                task, task.failed_at[0], rollout_state.Sample(is_failed=True)
+            )
 
     async def _try_endpoints(self, task: job.Job) -> None:
         reason = metrics.Counter.REFUSED_NO_ENDPOINT
@@ -100,11 +112,15 @@
 
     def _choose(self, task: job.Job) -> directory.Member | None:
         ready = self._members.list_ready(task.service)
-        untried = _without_tried(task, self._versions.filter(task, ready))
-        if not untried:
-            # The version on trial may have a single exposed endpoint.
-            settled = self._versions.list_settled(task.service, ready)
-            untried = _without_tried(task, settled)
+        if task.sent == 0:
+            allowed = self._versions.filter(task, ready)
+        else:
+            # A version on trial gets no repeats: if the settled one answers,
+            # the failure is evidence.
+            allowed = self._versions.list_settled(task.service, ready)
+        untried = [
+            member for member in allowed if member.identity not in task.tried
+        ]
         return placement.choose_plain(untried, self._zone, self._random)
 
     def _watch_answer(
@@ -227,9 +243,7 @@
     ) -> bool:
         """Record a 5xx answer; return whether the request may be retried."""
         member.health.record_failure(health.Fault.ERROR)
-        self._versions.record_answer(
-            task, member, rollout_state.Sample(is_failed=True)
-        )
+        task.failed_at.append(member)
         return self._may_fail_over(task)
 
     def _send_answer(
@@ -261,12 +275,6 @@
         task.reply.send(head.status, head.headers, body)
 
 
-def _without_tried(
-    task: job.Job, members: collections.abc.Iterable[directory.Member]
-) -> list[directory.Member]:
-    return [member for member in members if member.identity not in task.tried]
-
-
 def _failover_seconds(member: directory.Member) -> float:
     """Return the time after which an endpoint counts as silent."""
     usual_seconds = member.health.duration_ms / 1000.0
--- a/packages/wagtailstream-router/wagtailstream_router/job.py
+++ b/packages/wagtailstream-router/wagtailstream_router/job.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from wagtailstream_router import configuration, reply, request
+from wagtailstream_router import configuration, directory, reply, request
 
 
 @dataclasses.dataclass
@@ -19,6 +19,7 @@
     :param tried: the ids of the endpoints of these attempts.
     :param uncertain_runs: the number of attempts whose endpoint may have run
         the request.
+    :param failed_at: the endpoints that answered with an error.
     :param version: the version chosen last; "" before the first choice.
     """
 
@@ -33,6 +34,7 @@
     sent: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     uncertain_runs: int = 0
+    failed_at: list[directory.Member] = dataclasses.field(default_factory=list)
     version: str = ""
 
     @property
--- a/tests/router/test_rollout_plain.py
+++ b/tests/router/test_rollout_plain.py
@@ -123,6 +123,27 @@
     assert count_runs(new) > 0
 
 
+async def test_requests_that_fail_at_any_version_do_not_roll_a_good_one_back(
+    fleet: support.Fleet,
+) -> None:
+    new = await start(fleet)
+    await order(fleet)
+    exposed = []
+    for number in range(100):
+        before = count_runs(new)
+        identity = f"get-{number}"
+        await fleet.call("GET", support.SAFE_PATH, identity=identity)
+        if count_runs(new) > before:
+            exposed.append(identity)
+    assert len(exposed) > 5
+    for endpoint in fleet.endpoints:
+        endpoint.default = FAILING
+    for identity in exposed:
+        reply = await fleet.call("GET", support.SAFE_PATH, identity=identity)
+        assert reply.status == 500
+    assert not fleet.has_event("rollout_ended")
+
+
 async def test_a_good_version_of_a_plain_service_is_completed(
     fleet: support.Fleet,
 ) -> None:
