Leave out routes that are always late when versions are compared

Callers of a plain service were sent to a slow version for longer than needed.

Cause: requests that run into their route's time limit with any version count as late.

Now lateness on a route counts only if most of its answers of the settled version are in time. The test failed before: no verdict came.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -13,6 +13,7 @@
     forwarding,
     health,
     job,
+    late_routes,
     metrics,
     placement,
     request,
@@ -63,6 +64,7 @@
         self._counters = counters
         self._zone = zone
         self._random = random.Random()
+        self._late_routes = late_routes.LateRoutes()
 
     async def forward(self, task: job.Job) -> None:
         """Answer a request, at the latest at its deadline."""
@@ -134,9 +136,24 @@
         limit_ms = answer_watch.LATE_FACTOR * usual_ms or task.route.target_ms
         return answer_watch.AnswerWatch(
             LATE_MARGIN_MS + limit_ms,
-            functools.partial(self._versions.record_answer, task, member),
+            functools.partial(
+                self._record_lateness, task, member, member in settled
+            ),
         )
 
+    def _record_lateness(
+        self,
+        task: job.Job,
+        member: directory.Member,
+        is_settled: bool,
+        sample: rollout_state.Sample,
+    ) -> None:
+        if is_settled:
+            self._late_routes.record(task.route.name, sample.is_slow)
+        if self._late_routes.is_usually_late(task.route.name):
+            sample = rollout_state.Sample()
+        self._versions.record_answer(task, member, sample)
+
     def _head_timeout_seconds(
         self, task: job.Job, member: directory.Member
     ) -> float:
--- a/tests/router/test_rollout_plain.py
+++ b/tests/router/test_rollout_plain.py
@@ -144,6 +144,38 @@
     assert not fleet.has_event("rollout_ended")
 
 
+async def test_a_route_that_always_times_out_does_not_hide_a_slow_version(
+    fleet: support.Fleet,
+) -> None:
+    new = await start(fleet)
+    await order(fleet)
+    gate = asyncio.Event()
+    for endpoint in fleet.endpoints:
+        endpoint.default = platform_endpoint.Plan(gate=gate)
+    await asyncio.gather(
+        *(
+            fleet.call(
+                "POST",
+                support.UNSAFE_PATH,
+                b"x",
+                identity=f"long-{number}",
+                deadline_ms=300,
+            )
+            for number in range(40)
+        )
+    )
+    for number in range(120):
+        for endpoint in fleet.endpoints:
+            is_slow = endpoint in new and number % 2 == 0
+            endpoint.default = platform_endpoint.Plan(
+                gate=gate if is_slow else None
+            )
+        await fleet.call("GET", support.SAFE_PATH, identity=f"get-{number}")
+    gate.set()
+    ended = await asyncio.wait_for(fleet.wait_for_event("rollout_ended"), 2.0)
+    assert ended["stage"] == "rolled_back"
+
+
 async def test_a_good_version_of_a_plain_service_is_completed(
     fleet: support.Fleet,
 ) -> None:
