Expose no new version before its verdict is known

An instance that starts during a roll-out took the order for a new one until it heard of a witness or read the status, a quarter of a second: callers without a session could get a version that was already rolled back, also long after its 50th bad answer (EXPOSURE).

Now an instance that has not seen the order come sends everything to the settled version until a peer or the status tells it the order's age or verdict.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -217,6 +217,8 @@
     def _exposure_of(
         self, task: job.Job, progress: rollout_progress.Progress
     ) -> float:
+        if not progress.is_verdict_known:
+            return 0.0
         return rollout_state.exposure_at(
             progress.elapsed_share,
             self._exposure_bound,
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -45,6 +45,19 @@
             return not self.is_announced
         return not self.is_written
 
+    @property
+    def is_verdict_known(self) -> bool:
+        """Whether a verdict would be known here if there was one.
+
+        An instance that started after the order has to hear of a witness or
+        read the status first.
+        """
+        return (
+            self.is_start_witnessed
+            or self.is_announced
+            or self.stage is not rollout_state.Stage.RUNNING
+        )
+
     @property
     def status(self) -> rollout_state.Status:
         """The status that is written for the operator."""
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -321,6 +321,20 @@
     assert progress.elapsed_share == pytest.approx(0.6, abs=0.1)
 
 
+async def test_a_successor_exposes_nothing_before_it_knows_the_verdict() -> (
+    None
+):
+    topic = store.MemoryTopic("status")
+    copy = replica.Replica()
+    log = event_log.MemoryEventLog()
+    rollouts = rollout.Rollouts(copy, CODEC, 0.15, log)
+    successor = RolloutHarness(copy, rollouts, make_harness().members, log)
+    successor.order("v2")
+    assert set(successor.choose_versions(100)) == {"v1"}
+    await make_status_writer(successor, topic).step()
+    assert set(successor.choose_versions(100)) == {"v1", "v2"}
+
+
 async def test_a_witness_keeps_its_start_whatever_was_written(
     harness: RolloutHarness,
 ) -> None:
