Keep the evidence on a version when instances restart

Callers were sent to a bad version for longer when the routers restarted: the counts against it went down with each restart.

Cause: an instance counted its evidence from zero at each start, and its peers replaced what they had of it by name. The class: what the fleet decides on was kept by one process.

Now evidence belongs to a start of an instance, is merged by maximum, and is passed on by the others once that start is silent, eight starts a message in turn.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -33,6 +33,7 @@
     reply,
     request,
     rollout,
+    rollout_state,
     rollout_status,
     settings_watch,
     state_exchange,
@@ -123,6 +124,7 @@
         )
         self._members = directory.Directory(self._entries.copy, records, log)
         self._rollouts = rollout.Rollouts(
+            rollout_state.Start(settings.name, time.time_ns() // 1_000_000),
             self._operator.copy,
             records,
             settings.bounds.exposure_share,
--- a/packages/wagtailstream-router/wagtailstream_router/gossip.py
+++ b/packages/wagtailstream-router/wagtailstream_router/gossip.py
@@ -5,7 +5,7 @@
 import dataclasses
 import time
 
-from wagtailstream_router import event_log, peer_report
+from wagtailstream_router import event_log, peer_report, rotation
 
 # Interval between messages: queues at model servers last some hundred ms, so
 # older loads would be out of date.
@@ -150,7 +150,9 @@
     def _choose_named_peers(self) -> tuple[str, ...]:
         """Return the addresses of live peers to name in the next message."""
         heard = {peer.report.address for peer in self.alive}
-        return tuple(_round_robin(heard, MAX_NAMED_PEERS, self._sequence))
+        return tuple(
+            rotation.round_robin(heard, MAX_NAMED_PEERS, self._sequence)
+        )
 
     def _list_addresses(self) -> set[str]:
         addresses = {peer.report.address for peer in self._peers.values()}
@@ -164,8 +166,10 @@
             if self._is_same_zone(peer)
         }
         return [
-            *_round_robin(near & addresses, SAME_ZONE_TARGETS, self._sequence),
-            *_round_robin(
+            *rotation.round_robin(
+                near & addresses, SAME_ZONE_TARGETS, self._sequence
+            ),
+            *rotation.round_robin(
                 addresses - near, OTHER_ZONE_TARGETS, self._sequence
             ),
         ]
@@ -225,14 +229,3 @@
     """
     turn_seconds = INTERVAL_SECONDS * count / targets
     return max(SILENCE_SECONDS, MISSED_TURNS * turn_seconds)
-
-
-def _round_robin(addresses: set[str], count: int, turn: int) -> list[str]:
-    """Return the addresses of one turn of a round robin.
-
-    :param count: the number of addresses per turn.
-    :param turn: the number of the turn.
-    """
-    ordered = sorted(addresses)
-    first = turn * count % max(1, len(ordered))
-    return (ordered[first:] + ordered[:first])[:count]
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import typing
 import zlib
 
 import orjson
@@ -10,7 +11,7 @@
 
 # The first field of a message. Raise it with each change of the fields:
 # messages of instances of another release are ignored, not misread.
-MESSAGE_FORMAT = 2
+MESSAGE_FORMAT = 3
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -40,11 +41,15 @@
     :param evidence: counts of the instance's own answers, by version.
     :param age_seconds: the time since the order came; None if no instance
         that this one heard from saw it come.
+    :param inherited: the evidence of starts that may have ended.
     """
 
     status: rollout_state.Status
-    evidence: dict[str, rollout_state.Evidence]
+    evidence: rollout_state.EvidenceByVersion
     age_seconds: float | None = None
+    inherited: dict[rollout_state.Start, rollout_state.EvidenceByVersion] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -187,13 +192,23 @@
         status.stage.value,
         status.order_offset,
         _floor_to_ms(report.age_seconds),
-        {
-            version: [counts.good, counts.bad, counts.slow]
-            for version, counts in report.evidence.items()
-        },
+        _encode_evidence(report.evidence),
+        [
+            [start.name, start.boot, _encode_evidence(evidence)]
+            for start, evidence in report.inherited.items()
+        ],
     ]
 
 
+def _encode_evidence(
+    evidence: rollout_state.EvidenceByVersion,
+) -> dict[str, list[int]]:
+    return {
+        version: [counts.good, counts.bad, counts.slow]
+        for version, counts in evidence.items()
+    }
+
+
 def decode(data: bytes) -> PeerReport:
     """Return the message that a datagram holds.
 
@@ -256,23 +271,29 @@
         raise ValueError(f"not a peer message: {error!r}") from error
 
 
-def _decode_rollout(row: list[object]) -> RolloutReport:
-    service, target, stage, offset, age_seconds, evidence = row
-    if not isinstance(evidence, dict):
-        raise TypeError("evidence of a roll-out is not an object")
+def _decode_rollout(row: list[typing.Any]) -> RolloutReport:
+    service, target, stage, offset, age_seconds, evidence, inherited = row
     status = rollout_state.Status(
         str(service),
         str(target),
         rollout_state.Stage(stage),
-        int(str(offset)),
+        int(offset),
     )
     return RolloutReport(
         status,
+        _decode_evidence(evidence),
+        None if age_seconds is None else float(age_seconds),
         {
-            str(version): rollout_state.Evidence(
-                int(good), int(bad), int(slow)
-            )
-            for version, (good, bad, slow) in evidence.items()
+            rollout_state.Start(str(name), int(boot)): _decode_evidence(counts)
+            for name, boot, counts in inherited
         },
-        None if age_seconds is None else float(str(age_seconds)),
     )
+
+
+def _decode_evidence(row: object) -> rollout_state.EvidenceByVersion:
+    if not isinstance(row, dict):
+        raise TypeError("evidence on a roll-out is not an object")
+    return {
+        str(version): rollout_state.Evidence(int(good), int(bad), int(slow))
+        for version, (good, bad, slow) in row.items()
+    }
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -25,6 +25,7 @@
 class Rollouts:
     """Decides which version a request may go to.
 
+    :param start: this start of the instance.
     :param operator: the replica of the operator's topic.
     :param codec: decodes orders.
     :param exposure_bound: the largest share of requests, 0 to 1, that a bad
@@ -33,11 +34,13 @@
 
     def __init__(
         self,
+        start: rollout_state.Start,
         operator: replica.Replica,
         codec: wire.RecordCodec,
         exposure_bound: float,
         log: event_log.EventLog,
     ) -> None:
+        self._start = start
         self._operator = operator
         self._codec = codec
         self._exposure_bound = exposure_bound
@@ -49,6 +52,11 @@
         self._logged_evidence: dict[str, rollout_progress.Totals] = {}
         self._evidence_log_due = float("-inf")
 
+    @property
+    def start(self) -> rollout_state.Start:
+        """This start of the instance, under which its evidence counts."""
+        return self._start
+
     @property
     def progress(self) -> dict[str, rollout_progress.Progress]:
         """The newest order of each service."""
@@ -131,14 +139,18 @@
             self._end(progress, status.stage, "told")
 
     def handle_report(
-        self, peer: str, report: peer_report.RolloutReport
+        self, peer: rollout_state.Start, report: peer_report.RolloutReport
     ) -> None:
-        """Merge a peer's evidence on a roll-out and its status."""
+        """Merge a peer's status of a roll-out and the evidence it has."""
         self.refresh()
         progress = self._find_progress(report.status)
         if progress is None:
             return
-        progress.peer_evidence[peer] = report.evidence
+        progress.heard_at[peer] = time.monotonic()
+        progress.merge_evidence(peer, report.evidence)
+        for start, evidence in report.inherited.items():
+            if start != self._start:
+                progress.merge_evidence(start, evidence)
         if report.age_seconds is not None:
             progress.merge_start(
                 time.monotonic() - report.age_seconds, is_witnessed=True
@@ -146,13 +158,19 @@
         self.merge_status(report.status)
         self.evaluate(progress)
 
-    def list_reports(self) -> tuple[peer_report.RolloutReport, ...]:
-        """Return this process's status and evidence of all roll-outs."""
+    def list_reports(
+        self, turn: int = 0
+    ) -> tuple[peer_report.RolloutReport, ...]:
+        """Return this process's status and evidence of all roll-outs.
+
+        :param turn: the number of the message that the reports are for.
+        """
         return tuple(
             peer_report.RolloutReport(
                 progress.status,
                 progress.evidence,
                 progress.age_seconds if progress.is_start_witnessed else None,
+                progress.list_inherited(turn),
             )
             for progress in self._progress.values()
         )
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -3,8 +3,13 @@
 import dataclasses
 import time
 
-from wagtailstream_router import rollout_state
+from wagtailstream_router import rollout_state, rotation
 
+# A start that did not tell its evidence for this long may have ended; others
+# pass it on from then on. Instances tell theirs about five times a second.
+PASS_ON_SECONDS = 1.0
+# Starts whose evidence one message passes on, so that its size stays bounded.
+MAX_INHERITED = 8
 # The evidence on the new version, and that on all others.
 Totals = tuple[rollout_state.Evidence, rollout_state.Evidence]
 
@@ -20,8 +25,10 @@
         saw the order come. Otherwise the start is an estimate by wall clocks.
     :param is_written: whether the final stage is in the status topic.
     :param is_announced: whether any status is in the status topic.
-    :param evidence: this process's evidence, by version.
-    :param peer_evidence: each peer's evidence, by version.
+    :param evidence: this process's evidence.
+    :param peer_evidence: the evidence of other starts, also of ended ones.
+    :param heard_at: when each start last told its own evidence, by the
+        monotonic clock.
     """
 
     order: rollout_state.Order
@@ -31,11 +38,14 @@
     stage: rollout_state.Stage = rollout_state.Stage.RUNNING
     is_written: bool = False
     is_announced: bool = False
-    evidence: dict[str, rollout_state.Evidence] = dataclasses.field(
+    evidence: rollout_state.EvidenceByVersion = dataclasses.field(
         default_factory=dict
     )
-    peer_evidence: dict[str, dict[str, rollout_state.Evidence]] = (
-        dataclasses.field(default_factory=dict)
+    peer_evidence: dict[
+        rollout_state.Start, rollout_state.EvidenceByVersion
+    ] = dataclasses.field(default_factory=dict)
+    heard_at: dict[rollout_state.Start, float] = dataclasses.field(
+        default_factory=dict
     )
 
     @property
@@ -92,6 +102,35 @@
             self.started_at = started_at
             self.is_start_witnessed = True
 
+    def merge_evidence(
+        self,
+        start: rollout_state.Start,
+        evidence: rollout_state.EvidenceByVersion,
+    ) -> None:
+        """Merge the evidence of another start, from itself or passed on."""
+        known = self.peer_evidence.setdefault(start, {})
+        for version, counts in evidence.items():
+            known.setdefault(version, rollout_state.Evidence()).merge(counts)
+
+    def list_inherited(
+        self, turn: int
+    ) -> dict[rollout_state.Start, rollout_state.EvidenceByVersion]:
+        """Return the evidence to pass on: that of starts that fell silent.
+
+        :param turn: the number of the message; with more than
+            MAX_INHERITED starts they take turns.
+        """
+        since = time.monotonic() - PASS_ON_SECONDS
+        silent = {
+            start
+            for start in self.peer_evidence
+            if self.heard_at.get(start, since) <= since
+        }
+        return {
+            start: self.peer_evidence[start]
+            for start in rotation.round_robin(silent, MAX_INHERITED, turn)
+        }
+
     def sum_evidence(self) -> Totals:
         """Return the evidence on the new version and on all others."""
         new = rollout_state.Evidence()
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -104,6 +104,28 @@
         self.bad += other.bad
         self.slow += other.slow
 
+    def merge(self, other: "Evidence") -> None:
+        """Merge other counts of the same process; its counts only rise."""
+        self.good = max(self.good, other.good)
+        self.bad = max(self.bad, other.bad)
+        self.slow = max(self.slow, other.slow)
+
+
+# The evidence of one start, by version.
+EvidenceByVersion = dict[str, Evidence]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """One start of an instance; each counts its own evidence from zero.
+
+    :param name: the instance's name.
+    :param boot: the start time in Unix ms by the instance's own clock.
+    """
+
+    name: str
+    boot: int
+
 
 # The fewest errors or late answers that can make a version bad, so that a
 # single server's brief failure does not.
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -12,6 +12,7 @@
     node,
     peer_report,
     rollout,
+    rollout_state,
     warm_prompts,
 )
 
@@ -53,8 +54,6 @@
         self._settings = settings
         self._state = state
         self._list_alive = list_alive
-        # Lets peers tell messages of this start from those of earlier ones.
-        self._boot = time.time_ns() // 1_000_000
         self.is_draining = False
 
     def make_report(
@@ -67,14 +66,14 @@
         """
         state = self._state
         return peer_report.PeerReport(
-            self._settings.name,
-            self._boot,
+            state.rollouts.start.name,
+            state.rollouts.start.boot,
             sequence,
             self._settings.zone,
             self._settings.gossip_address,
             self.is_draining,
             self._list_loads(),
-            state.rollouts.list_reports(),
+            state.rollouts.list_reports(sequence),
             peers,
             tuple(state.warm.drain_unsent()),
             self._list_copies(),
@@ -135,8 +134,9 @@
         if report is None:
             return
         state.warm.add_peer_entries(report.warm)
+        peer = rollout_state.Start(report.name, report.boot)
         for rollout_ in report.rollouts:
-            state.rollouts.handle_report(report.name, rollout_)
+            state.rollouts.handle_report(peer, rollout_)
         now = time.monotonic()
         state.crashes.set_peer_crashes(
             report.name,
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -6,7 +6,7 @@
 import socket
 
 from tests.router import test_peers
-from wagtailstream_router import event_log, gossip, peer_report
+from wagtailstream_router import event_log, gossip, peer_report, rotation
 
 INSTANCE_COUNT = 14
 
@@ -81,7 +81,9 @@
     addresses = {f"10.0.0.{number}:1" for number in range(30)}
     reached: set[str] = set()
     for turn in range(math.ceil(30 / gossip.SAME_ZONE_TARGETS)):
-        chosen = gossip._round_robin(addresses, gossip.SAME_ZONE_TARGETS, turn)
+        chosen = rotation.round_robin(
+            addresses, gossip.SAME_ZONE_TARGETS, turn
+        )
         assert len(chosen) == gossip.SAME_ZONE_TARGETS
         reached |= set(chosen)
     assert reached == addresses
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -36,6 +36,11 @@
             ),
             {"v2": rollout_state.Evidence(4, 1, 2)},
             1.75,
+            {
+                rollout_state.Start("router-3", 7): {
+                    "v1": rollout_state.Evidence(6)
+                }
+            },
         ),
     ),
     ("127.0.0.1:7001",),
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -1,6 +1,8 @@
 """Roll-outs: gradual exposure, one written status, roll-back on evidence."""
 
+import collections.abc
 import dataclasses
+import itertools
 import time
 
 import orjson
@@ -24,6 +26,7 @@
 CODEC = records.PlatformRecords()
 FAILED = rollout_state.Sample(is_failed=True)
 GOOD = rollout_state.Sample()
+OWN_START = rollout_state.Start("router-1", 1)
 
 
 @dataclasses.dataclass
@@ -82,7 +85,7 @@
     copy = replica.Replica()
     copy.reset(store.Page((), 0), time.monotonic())
     log = event_log.MemoryEventLog()
-    rollouts = rollout.Rollouts(copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, 0.15, log)
     members = [make_member(f"old-{number}", "v1") for number in range(4)]
     harness = RolloutHarness(copy, rollouts, members, log)
     assert set(harness.choose_versions(3)) == {"v1"}
@@ -175,7 +178,7 @@
     peer.order("v2")
     (report,) = peer.rollouts.list_reports()
     monkeypatch.undo()
-    harness.rollouts.handle_report("peer", report)
+    harness.rollouts.handle_report(rollout_state.Start("peer", 1), report)
     assert harness.rollouts.progress["engine"].elapsed_share < 0.5
     monkeypatch.setattr(time, "time", lambda: now + 12.0)
     assert harness.rollouts.progress["engine"].elapsed_share < 0.5
@@ -245,11 +248,66 @@
             "v1": rollout_state.Evidence(40),
         }
         report = peer_report.RolloutReport(status, evidence)
-        harness.rollouts.handle_report(f"peer-{number}", report)
+        peer = rollout_state.Start(f"peer-{number}", 1)
+        harness.rollouts.handle_report(peer, report)
     progress = harness.rollouts.progress["engine"]
     assert progress.stage is rollout_state.Stage.ROLLED_BACK
 
 
+def make_instance(
+    name: str, boot: int, members: list[directory.Member]
+) -> RolloutHarness:
+    """Return the roll-outs of one start of an instance, with an order."""
+    copy = replica.Replica()
+    copy.reset(store.Page((), 0), time.monotonic())
+    log = event_log.MemoryEventLog()
+    start = rollout_state.Start(name, boot)
+    rollouts = rollout.Rollouts(start, copy, CODEC, 0.15, log)
+    instance = RolloutHarness(copy, rollouts, members, log)
+    instance.order("v2")
+    return instance
+
+
+def exchange_reports(
+    instances: collections.abc.Collection[RolloutHarness],
+) -> None:
+    """Let each instance send one message to all others."""
+    for sender, receiver in itertools.permutations(instances, 2):
+        for report in sender.rollouts.list_reports():
+            receiver.rollouts.handle_report(sender.rollouts.start, report)
+
+
+def test_evidence_survives_a_restart_of_all_instances_in_turn(
+    harness: RolloutHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    members = harness.members
+    names = ["router-1", "router-2", "router-3"]
+    instances = {name: make_instance(name, 1, members) for name in names}
+
+    now = time.monotonic()
+    for name in names:
+        rollouts = instances[name].rollouts
+        for _ in range(15):
+            rollouts.record_answer(make_job("r"), members[0], GOOD)
+        rollouts.record_answer(make_job("r"), members[-1], GOOD)
+        if name != names[-1]:
+            rollouts.record_answer(make_job("r"), members[-1], FAILED)
+        exchange_reports(instances.values())
+    for boot, name in enumerate(names, 2):
+        del instances[name]
+        now += 5.0
+        monkeypatch.setattr(time, "monotonic", lambda now=now: now)
+        instances[name] = make_instance(name, boot, members)
+        for _ in range(2):
+            exchange_reports(instances.values())
+    last = instances[names[0]].rollouts
+    new, old = last.progress["engine"].sum_evidence()
+    assert (new.good, new.bad, old.good) == (3, 2, 45)
+    last.record_answer(make_job("r"), members[-1], FAILED)
+    stage = last.progress["engine"].stage
+    assert stage is rollout_state.Stage.ROLLED_BACK
+
+
 def test_the_status_of_another_order_is_ignored(
     harness: RolloutHarness,
 ) -> None:
@@ -312,7 +370,7 @@
     await make_status_writer(harness, topic).step()
     copy = replica.Replica()
     log = event_log.MemoryEventLog()
-    rollouts = rollout.Rollouts(copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, 0.15, log)
     successor = RolloutHarness(copy, rollouts, harness.members, log)
     successor.order("v2")
     await make_status_writer(successor, topic).step()
@@ -327,7 +385,7 @@
     topic = store.MemoryTopic("status")
     copy = replica.Replica()
     log = event_log.MemoryEventLog()
-    rollouts = rollout.Rollouts(copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, 0.15, log)
     successor = RolloutHarness(copy, rollouts, make_harness().members, log)
     successor.order("v2")
     assert set(successor.choose_versions(100)) == {"v1"}
