--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -32,14 +32,21 @@
     :param fault: the kind of failure.
     :param may_have_run: whether the endpoint may have run the request.
     :param detail: what went wrong.
+    :param answered_seconds: the time since the head of the answer; None if
+        there was no head.
     """
 
     def __init__(
-        self, fault: health.Fault, may_have_run: bool, detail: str
+        self,
+        fault: health.Fault,
+        may_have_run: bool,
+        detail: str,
+        answered_seconds: float | None = None,
     ) -> None:
         super().__init__(f"{fault.value}: {detail}")
         self.fault = fault
         self.may_have_run = may_have_run
+        self.answered_seconds = answered_seconds
 
 
 class Exchange:
@@ -62,6 +69,7 @@
         self.model = model
         self.head = head
         self._link = link
+        self._answered_at = time.monotonic()
 
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body; None at its end.
@@ -72,7 +80,10 @@
             return await self._link.read_chunk()
         except errors.BrokenAnswerError as error:
             raise AttemptError(
-                health.Fault.BROKEN, True, str(error)
+                health.Fault.BROKEN,
+                True,
+                str(error),
+                time.monotonic() - self._answered_at,
             ) from error
 
     async def read_body(self) -> bytes:
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -185,6 +185,10 @@
             fault=error.fault.value,
             may_have_run=error.may_have_run,
             detail=str(error),
+            answered_ms=None
+            if error.answered_seconds is None
+            else round(error.answered_seconds * 1000.0),
+            shared_parts=[part.identity for part in task.call.shared_parts],
         )
         if is_paused:
             self._report_paused(member, error.fault)
--- a/packages/wagtailstream-router/wagtailstream_router/request.py
+++ b/packages/wagtailstream-router/wagtailstream_router/request.py
@@ -60,10 +60,15 @@
         """The length in tokens of the last part, the request's own."""
         return self.parts[-1].tokens if self.parts else self.prompt_tokens
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that requests may share: all but the last."""
+        return self.parts[:-1]
+
     @property
     def shared_part(self) -> str:
         """The id of the last part that requests may share; "" if none."""
-        return self.parts[-2].identity if len(self.parts) > 1 else ""
+        return self.shared_parts[-1].identity if self.shared_parts else ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/router/test_forward_stream.py
+++ b/tests/router/test_forward_stream.py
@@ -274,3 +274,15 @@
     assert reply.body == b"".join(platform_endpoint.make_events(range(1, 4)))
     assert first.runs + second.runs == 1
     await fleet.close()
+
+
+async def test_the_log_tells_what_a_broken_stream_shared_with_others(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.default = make_plan(1, 2, platform_endpoint.End.CUT)
+    await fleet.start()
+    await call_stream(fleet)
+    line = await fleet.wait_for_event("attempt_failed")
+    assert line["shared_parts"] == ["aa"]
+    assert line["answered_ms"] is not None
