Reproduce BUDGET: one prompt part crashes endpoint after endpoint

A stand-in crashes once it has written the head of an answer to a prompt with a given part, and is replaced under another id.

--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -88,8 +88,10 @@
     """Serves scripted answers on a loopback port.
 
     ``plans`` holds the answers to the next requests; once it is empty,
-    ``default`` applies. ``arrivals`` records the requests, except those that
-    were refused as not run or because they expect another instance.
+    ``default`` applies. A request whose prompt has ``crashing_part`` crashes
+    the endpoint once the head of the answer is written. ``arrivals`` records
+    the requests, except those that were refused as not run or because they
+    expect another instance.
 
     :param identity: the endpoint's id; a request that expects another one is
         answered 421.
@@ -99,6 +101,8 @@
         self.identity = identity
         self.plans: list[Plan] = []
         self.default = Plan()
+        self.crashing_part = ""
+        self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
         self.connections = 0
         self.disconnected = asyncio.Event()
@@ -155,6 +159,30 @@
                 return
             framing.start_next_cycle()
 
+    def _is_crashing(self, arrival: Arrival) -> bool:
+        prompt = arrival.headers.get(names.PROMPT_PARTS.lower(), "")
+        identities = [part.partition(":")[0] for part in prompt.split(",")]
+        return bool(self.crashing_part) and self.crashing_part in identities
+
+    async def _crash(
+        self,
+        plan: Plan,
+        arrival: Arrival,
+        framing: h11.Connection,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Write the head of an answer, then drop all connections."""
+        head = h11.Response(
+            status_code=plan.status, headers=_make_headers(plan, arrival)
+        )
+        writer.write(framing.send(head) or b"")
+        await writer.drain()
+        if self._server is not None:
+            self._server.close()
+        self.crashed.set()
+        for task in self._tasks - {asyncio.current_task()}:
+            task.cancel()
+
     async def _answer(
         self,
         arrival: Arrival,
@@ -171,6 +199,9 @@
             if not plan.is_not_run:
                 self.arrivals.append(arrival)
             self.request_received.set()
+        if self._is_crashing(arrival):
+            await self._crash(plan, arrival, framing, writer)
+            return False
         if plan.gate is not None and not await _wait_for_gate(
             plan.gate, reader
         ):
