Accept answers without framing whose connection ends with the last bytes

Callers got 502 for answers that were whole: an answer with neither a length nor chunks ends with its connection, and where the end came with the last bytes the link took the closed connection for a broken one.

Evidence: the stand-in's unframed answers were chunked by h11, so no test had one.

Now an orderly end is the end of the answer, and only a connection that the router itself closed, or that was reset, is an error.

--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -29,6 +29,7 @@
 # The keep-alive time of endpoints that don't state theirs.
 DEFAULT_IDLE_SECONDS = 4.0
 
+_FRAMING_HEADERS = frozenset({"content-length", "transfer-encoding"})
 _FAULTS = (iostream.StreamClosedError, OSError)
 
 
@@ -51,6 +52,8 @@
         self._pending_read: asyncio.Future[bytes] | None = None
         self._idle_deadline = float("inf")
         self._idle_seconds = DEFAULT_IDLE_SECONDS
+        self._is_framed = False
+        self._is_closed = False
 
     @property
     def address(self) -> str:
@@ -71,6 +74,15 @@
             and time.monotonic() < self._idle_deadline
         )
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether the answer has a length or chunks.
+
+        Otherwise it ends with its connection, and an answer that was broken
+        off may look whole.
+        """
+        return self._is_framed
+
     async def connect(self) -> None:
         """Open the connection.
 
@@ -92,6 +104,7 @@
             # Retrieve its exception, or asyncio logs it as never retrieved.
             self._pending_read.add_done_callback(_ignore_result)
             self._pending_read = None
+        self._is_closed = True
         self._stream.close()
 
     def send(
@@ -148,6 +161,9 @@
                 (name.decode("latin-1"), value.decode("latin-1"))
                 for name, value in event.headers.raw_items()
             ]
+            self._is_framed = any(
+                name.lower() in _FRAMING_HEADERS for name, _ in pairs
+            )
             head = self._codec.decode_answer(event.status_code, pairs)
             if head.idle_seconds is not None:
                 self._idle_seconds = head.idle_seconds
@@ -226,9 +242,12 @@
         self._start_read()
         pending = self._pending_read
         if pending is None:
-            raise errors.BrokenAnswerError(
-                "read", self._address, "the connection is closed"
-            )
+            # The end of the stream may come with the last bytes.
+            if self._is_closed or self._stream.error is not None:
+                raise errors.BrokenAnswerError(
+                    "read", self._address, "the connection is closed"
+                )
+            return b""
         try:
             data = await asyncio.shield(pending)
         except _FAULTS as error:
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -54,6 +54,8 @@
     :param noise: bytes to repeat instead of an answer until the router
         closes.
     :param pause_seconds: the pause between repetitions.
+    :param is_written_at_once: whether head and body are one write, and the
+        end of the connection follows at once.
     """
 
     status: int = 200
@@ -69,6 +71,7 @@
     gate: asyncio.Event | None = None
     noise: bytes = b""
     pause_seconds: float = 0.0
+    is_written_at_once: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -89,9 +92,9 @@
 
     ``plans`` holds the answers to the next requests; once it is empty,
     ``default`` applies. A request whose prompt has ``crashing_part`` crashes
-    the endpoint once the head of the answer is written. ``arrivals`` records
-    the requests, except those that were refused as not run or because they
-    expect another instance.
+    the endpoint once the head of the answer and ``crashing_tail`` are written.
+    ``arrivals`` records the requests, except those that were refused as not
+    run or because they expect another instance.
 
     :param identity: the endpoint's id; a request that expects another one is
         answered 421.
@@ -102,6 +105,7 @@
         self.plans: list[Plan] = []
         self.default = Plan()
         self.crashing_part = ""
+        self.crashing_tail = b""
         self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
         self.connections = 0
@@ -171,11 +175,14 @@
         framing: h11.Connection,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Write the head of an answer, then drop all connections."""
-        head = h11.Response(
-            status_code=plan.status, headers=_make_headers(plan, arrival)
-        )
-        writer.write(framing.send(head) or b"")
+        """Write the head of an answer, then drop all connections.
+
+        An answer without framing ends as a whole one would.
+        """
+        answer = _AnswerWriter(plan, arrival, framing)
+        writer.write(answer.encode_head())
+        if self.crashing_tail:
+            writer.write(answer.encode_data(self.crashing_tail))
         await writer.drain()
         if self._server is not None:
             self._server.close()
@@ -297,6 +304,38 @@
     return headers
 
 
+class _AnswerWriter:
+    """Encodes an answer; h11 alone would chunk one without a length."""
+
+    def __init__(
+        self, plan: Plan, arrival: Arrival, framing: h11.Connection
+    ) -> None:
+        self._plan = plan
+        self._headers = _make_headers(plan, arrival)
+        self._framing = framing
+        self._is_framed = plan.framing is not Framing.CLOSE
+
+    def encode_head(self) -> bytes:
+        if self._is_framed:
+            head = h11.Response(
+                status_code=self._plan.status, headers=self._headers
+            )
+            return self._framing.send(head) or b""
+        lines = [f"HTTP/1.1 {self._plan.status} Reason"]
+        lines += [f"{name}: {value}" for name, value in self._headers]
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    def encode_data(self, data: bytes) -> bytes:
+        if self._is_framed:
+            return self._framing.send(h11.Data(data=data)) or b""
+        return data
+
+    def encode_end(self) -> bytes:
+        if self._is_framed:
+            return self._framing.send(h11.EndOfMessage()) or b""
+        return b""
+
+
 async def _write(
     plan: Plan,
     arrival: Arrival,
@@ -305,13 +344,15 @@
     writer: asyncio.StreamWriter,
 ) -> bool:
     """Write an answer; return whether the connection stays open."""
-    head = h11.Response(
-        status_code=plan.status, headers=_make_headers(plan, arrival)
-    )
-    writer.write(framing.send(head) or b"")
+    answer = _AnswerWriter(plan, arrival, framing)
+    data = answer.encode_head()
     for piece in plan.pieces:
-        writer.write(framing.send(h11.Data(data=piece)) or b"")
-        await writer.drain()
+        data += answer.encode_data(piece)
+        if not plan.is_written_at_once:
+            writer.write(data)
+            data = b""
+            await writer.drain()
+    writer.write(data)
     if plan.end is End.CUT:
         writer.transport.abort()
         return False
@@ -319,11 +360,14 @@
         await reader.read(1)
         return False
     if plan.end is End.ENDLESS:
-        repeated = framing.send(h11.Data(data=plan.pieces[-1])) or b""
+        repeated = answer.encode_data(plan.pieces[-1])
         return await _repeat(repeated, plan.pause_seconds, writer)
-    writer.write(framing.send(h11.EndOfMessage()) or b"")
+    writer.write(answer.encode_end())
     if plan.end is End.EXTRA:
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+    if plan.is_written_at_once:
+        writer.write_eof()
+        return False
     await writer.drain()
     return plan.framing is not Framing.CLOSE
 
--- a/tests/router/test_forward_plain.py
+++ b/tests/router/test_forward_plain.py
@@ -154,6 +154,21 @@
     assert endpoint.connections == 1
 
 
+async def test_an_answer_without_a_length_may_come_with_its_end(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("plain-1", "plain")
+    endpoint.default = platform_endpoint.Plan(
+        framing=platform_endpoint.Framing.CLOSE, is_written_at_once=True
+    )
+    await fleet.start()
+    for number in range(20):
+        reply = await fleet.call(
+            "POST", support.UNSAFE_PATH, b"x", identity=f"r-{number}"
+        )
+        assert (reply.status, reply.body) == (200, b"whole answer")
+
+
 async def test_an_answer_without_a_length_ends_with_its_connection(
     fleet: support.Fleet,
 ) -> None:
