Take a stream without framing or event for broken off

A server that crashes as it begins to write an answer without framing ends the connection in order.

Found by looking for the cause elsewhere; the test fails without the check in the relay. An empty stream is whole only if its framing says so; a part is cleared by framed answers only; and a stream that ends within an event says how long it had been arriving, so that its parts are suspected as well.

--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -71,6 +71,16 @@
         self._link = link
         self._answered_at = time.monotonic()
 
+    @property
+    def is_framed(self) -> bool:
+        """Whether a broken answer can be told from a whole one."""
+        return self._link.is_framed
+
+    @property
+    def answered_seconds(self) -> float:
+        """The time since the head of the answer."""
+        return time.monotonic() - self._answered_at
+
     async def read_chunk(self) -> bytes | None:
         """Return the next chunk of the body; None at its end.
 
@@ -83,7 +93,7 @@
                 health.Fault.BROKEN,
                 True,
                 str(error),
-                time.monotonic() - self._answered_at,
+                self.answered_seconds,
             ) from error
 
     async def read_body(self) -> bytes:
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -278,7 +278,8 @@
                 watch.record_arrival()
                 return False
             await self._relay_events(answer, watch)
-        self._record_success(chosen, began)
+            is_framed = answer.is_framed
+        self._record_success(chosen, began, is_framed)
         return True
 
     async def _handle_failure(self, answer: exchange.Exchange) -> bool:
@@ -430,7 +431,7 @@
         return gap * (STALL_SHARE if spare else LAST_STALL_SHARE)
 
     def _record_success(
-        self, chosen: placement.Estimate, began: float
+        self, chosen: placement.Estimate, began: float, is_framed: bool
     ) -> None:
         member = chosen.member
         task = self._task
@@ -445,6 +446,8 @@
         )
         member.health.record_success(relative_gap)
         owner._retry_policy.record_answer(task, member)
+        if is_framed:
+            owner._retry_policy.record_sound_parts(task)
         owner._counters.count(metrics.Counter.ANSWERED)
         now = time.monotonic()
         owner._counters.observe(
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -224,10 +224,16 @@
 
     def record_answer(self, task: job.Job, member: directory.Member) -> None:
         """Record that an endpoint answered, so the request didn't crash it."""
-        self._crashes.parts.record_answer(task.call)
         if self._crashes.has_entries:
             self._crashes.record_answer(_request_digest(task), member.identity)
 
+    def record_sound_parts(self, task: job.Job) -> None:
+        """Record that the parts of a prompt crash no endpoint.
+
+        It needs an answer that is whole for certain.
+        """
+        self._crashes.parts.record_answer(task.call)
+
     async def is_crashing(self, task: job.Job) -> bool:
         """Return whether a request, or a part of it, reached the crash limit.
 
--- a/packages/wagtailstream-router/wagtailstream_router/relay.py
+++ b/packages/wagtailstream-router/wagtailstream_router/relay.py
@@ -22,6 +22,7 @@
         self._splitter = event_stream.EventSplitter()
         self._last_identity = task.call.last_event
         self._count = 0
+        self._has_event = False
         self._first_at = 0.0
         self._last_at = 0.0
 
@@ -60,6 +61,7 @@
     def start_attempt(self) -> None:
         """Discard a partial event of the previous attempt."""
         self._splitter = event_stream.EventSplitter()
+        self._has_event = False
 
     def relay_chunk(self, answer: exchange.Exchange, data: bytes) -> None:
         """Relay the events that a chunk completes.
@@ -70,6 +72,7 @@
             `MAX_EVENT_BYTES`.
         """
         for event in self._splitter.feed(data):
+            self._has_event = True
             if self._is_known(event):
                 continue
             if not self.is_started:
@@ -90,12 +93,13 @@
     def end(self, answer: exchange.Exchange) -> None:
         """Complete the answer to the caller.
 
-        :raises exchange.AttemptError: the stream ended within an event.
+        :raises exchange.AttemptError: the stream was broken off: it ended
+            within an event, or has neither framing nor an event.
         """
         if self._splitter.rest_bytes:
-            raise exchange.AttemptError(
-                health.Fault.BROKEN, True, "the stream ended within an event"
-            )
+            raise _broken(answer, "the stream ended within an event")
+        if not self._has_event and not answer.is_framed:
+            raise _broken(answer, "the stream ended before its first event")
         if not self.is_started:
             self._task.reply.start(answer.head.status, answer.head.headers)
         self._task.reply.finish()
@@ -111,3 +115,9 @@
         if last.isdecimal() and event.identity.isdecimal():
             return int(event.identity) <= int(last)
         return event.identity == last
+
+
+def _broken(answer: exchange.Exchange, detail: str) -> exchange.AttemptError:
+    return exchange.AttemptError(
+        health.Fault.BROKEN, True, detail, answer.answered_seconds
+    )
--- a/tests/router/test_crashing_part.py
+++ b/tests/router/test_crashing_part.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
+import pytest
 import pytest_asyncio
 
 from standins import platform_caller, platform_endpoint
@@ -20,10 +22,20 @@
     """A router before four model servers that crash under one prompt part.
 
     Each crashed server is replaced by one with another id.
+
+    :param framing: how answers are delimited.
+    :param tail: bytes of the body before a crash.
     """
 
-    def __init__(self, fleet: support.Fleet) -> None:
+    def __init__(
+        self,
+        fleet: support.Fleet,
+        framing: platform_endpoint.Framing = test_forward_stream.CHUNKED,
+        tail: bytes = b"",
+    ) -> None:
         self.fleet = fleet
+        self._framing = framing
+        self._tail = tail
         self._tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -35,8 +47,11 @@
     async def _add_endpoint(self) -> None:
         identity = f"engine-{len(self.fleet.endpoints)}"
         endpoint = await self.fleet.add_endpoint(identity, "engine")
-        endpoint.default = test_forward_stream.make_plan(1, 3)
+        endpoint.default = dataclasses.replace(
+            test_forward_stream.make_plan(1, 3), framing=self._framing
+        )
         endpoint.crashing_part = CRASHING_PART
+        endpoint.crashing_tail = self._tail
         replace = self._replace(endpoint)
         self._tasks.append(asyncio.ensure_future(replace))
 
@@ -100,6 +115,19 @@
     assert crashing.fleet.has_event("part_blocked")
 
 
+@pytest.mark.parametrize("tail", [b"", b"id: 1\ndata: tok"])
+async def test_a_crash_that_ends_a_stream_without_framing_is_one(
+    fleet: support.Fleet, tail: bytes
+) -> None:
+    crashing = CrashingFleet(fleet, platform_endpoint.Framing.CLOSE, tail)
+    await crashing.start()
+    for number in range(100, 130):
+        reply = await crashing.call(number, "first", CRASHING_PART)
+        assert reply.status != 200
+    assert crashing.crashing_runs <= MAX_CRASHES + MAX_FURTHER
+    await crashing.close()
+
+
 async def test_requests_that_share_other_parts_with_it_are_served(
     crashing: CrashingFleet,
 ) -> None:
