Suspect requests without a head if none had begun at a crash

A head can be lost with the connection that a crash resets; then no part was suspected, and endpoint after endpoint would end as before (BUDGET). Found by a test with three router processes whose links reset at a crash: no crash had a suspect.

Now requests whose answers had not begun are suspected if none at this instance had.

--- a/packages/wagtailstream-router/wagtailstream_router/crash_board.py
+++ b/packages/wagtailstream-router/wagtailstream_router/crash_board.py
@@ -36,12 +36,14 @@
     :param endpoint: the endpoint's id.
     :param at: the time of the cut, by the monotonic clock.
     :param parts: the prompt parts that may be the cause.
+    :param has_begun: whether the answer had begun.
     """
 
     digest: int
     endpoint: str
     at: float
     parts: tuple[str, ...] = ()
+    has_begun: bool = False
 
 
 def request_digest(call: request.Request, tenant: str) -> int:
@@ -100,13 +102,20 @@
         return self._parts
 
     def record_cut(
-        self, digest: int, endpoint: str, parts: tuple[str, ...] = ()
+        self,
+        digest: int,
+        endpoint: str,
+        parts: tuple[str, ...] = (),
+        has_begun: bool = False,
     ) -> None:
         """Record that an endpoint broke off its answer to a request.
 
-        :param parts: the prompt parts that are the cause if it crashed.
+        :param parts: the prompt parts that may be the cause if it crashed.
+        :param has_begun: whether the answer had begun.
         """
-        self._cuts.append(Crash(digest, endpoint, time.monotonic(), parts))
+        self._cuts.append(
+            Crash(digest, endpoint, time.monotonic(), parts, has_begun)
+        )
         del self._cuts[:-MAX_KEPT]
 
     def record_members(
@@ -132,7 +141,6 @@
             self._cuts.remove(cut)
             self._total += 1
             self._crashes[cut.digest, cut.endpoint] = cut
-            self._parts.record_crash(cut.parts, endpoint, cut.at)
             self._log.write(
                 "endpoint_crashed",
                 endpoint=endpoint,
@@ -141,8 +149,19 @@
                 crashes=self.count(cut.digest),
             )
         if proved:
+            self._record_suspects(proved)
             self._on_change()
 
+    def _record_suspects(self, proved: list[Crash]) -> None:
+        """Suspect the parts of the requests that may have caused a crash.
+
+        Those whose answers had not begun, since they were queued or the head
+        was lost with the connection, count only if none had.
+        """
+        begun = [cut for cut in proved if cut.has_begun]
+        for cut in begun or proved:
+            self._parts.record_crash(cut.parts, cut.endpoint, cut.at)
+
     def record_answer(self, digest: int, endpoint: str) -> None:
         """Record that an endpoint answered a request.
 
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -178,6 +178,7 @@
                 _request_digest(task),
                 member.identity,
                 _list_suspects(task, error),
+                has_begun=error.answered_seconds is not None,
             )
             self._start_probe(member)
         elif error.fault is health.Fault.UNREACHABLE:
@@ -335,8 +336,7 @@
     task: job.Job, error: exchange.AttemptError
 ) -> tuple[str, ...]:
     """Return the prompt parts that may have crashed an endpoint."""
-    answered_seconds = error.answered_seconds
-    if answered_seconds is None or answered_seconds > part_board.BEGIN_SECONDS:
+    if (error.answered_seconds or 0.0) > part_board.BEGIN_SECONDS:
         return ()
     return part_board.list_parts(task.call)
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -76,7 +76,10 @@
         return self.topics.setdefault(name, Topic())
 
     def put(self, name: str, key: str, value: bytes) -> None:
-        """Append a record and wake waiting readers."""
+        """Append a record and wake waiting readers.
+
+        :param value: b"" to delete the key.
+        """
         self.topic(name).append(key, value)
         self.changed.set()
         self.changed = asyncio.Event()
--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -203,8 +203,19 @@
             names.OPERATOR_TOPIC, "rollout/engine", orjson.dumps(order)
         )
 
+    async def remove_endpoint(self, proxied: ProxiedEndpoint) -> None:
+        """Close the route to an endpoint and remove its record."""
+        await proxied.route.close()
+        self.store.put(names.ENDPOINTS_TOPIC, proxied.endpoint.identity, b"")
+
     async def call(
-        self, request_id: str, kind: str, address: str, session: str = ""
+        self,
+        request_id: str,
+        kind: str,
+        address: str,
+        session: str = "",
+        shared: tuple[str, ...] = (),
+        body: bytes = b"body",
     ) -> platform_caller.Reply:
         """Send a request to a router and return its answer.
 
@@ -212,8 +223,13 @@
         :param kind: kind of the route, as in ``ROUTES``.
         :param address: the router's IP address.
         :param session: the session's id; "" for none.
+        :param shared: the prompt parts that it shares with others; () for one
+            that its session determines.
+        :param body: the body, unless the kind is ``safe``.
         :returns: the answer; its status is 0 if none came in time.
         """
+        parts = [f"{part}:200" for part in shared or (f"aa{session}",)]
+        parts.append(f"{request_id}:100")
         fields = [
             ("Host", HOST),
             (names.REQUEST_ID, request_id),
@@ -221,7 +237,7 @@
             (names.CREDENTIAL, KEY),
             (names.MODEL, "*"),
             (names.TOKENS, "300,40"),
-            (names.PROMPT_PARTS, f"aa{session}:200,{request_id}:100"),
+            (names.PROMPT_PARTS, ",".join(parts)),
         ]
         if session:
             fields.append((names.SESSION, session))
@@ -233,7 +249,7 @@
                     method,
                     f"/{kind}/x",
                     fields,
-                    b"" if kind == "safe" else b"body",
+                    b"" if kind == "safe" else body,
                     address,
                 )
         return platform_caller.Reply(0, {}, b"", False)
