Tell an instance that starts what its peers know at once

Now the first message of an instance, or of a new start of one, is answered at once instead of at the next round. The test fails without the answer.

--- a/packages/wagtailstream-router/wagtailstream_router/gossip.py
+++ b/packages/wagtailstream-router/wagtailstream_router/gossip.py
@@ -133,17 +133,21 @@
         :param is_urgent: whether to send it to all peers instead of those
             whose turn it is.
         """
+        self._remove_expired()
+        addresses = self._list_addresses()
+        self._send_to(
+            addresses if is_urgent else self._choose_targets(addresses)
+        )
+
+    def _send_to(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Send this instance's state to some addresses."""
         if self._transport is None or self._transport.is_closing():
             return
-        self._remove_expired()
         self._sequence += 1
-        addresses = self._list_addresses()
         data = peer_report.encode(
             self._make_report(self._sequence, self._choose_named_peers())
         )
-        for target in (
-            addresses if is_urgent else self._choose_targets(addresses)
-        ):
+        for target in addresses:
             host, _, port = target.rpartition(":")
             self._transport.sendto(data, (host, int(port)))
 
@@ -187,7 +191,12 @@
             peer.report.sequence,
         ):
             return
-        if peer is None or report.name in self._silent:
+        is_new = (
+            peer is None
+            or report.boot != peer.report.boot
+            or report.name in self._silent
+        )
+        if is_new:
             self._silent.discard(report.name)
             self._log.write("peer_heard", peer=report.name)
         self._peers[report.name] = Peer(report, time.monotonic())
@@ -196,6 +205,9 @@
         for address in set(report.peers) - self._list_addresses():
             self._hints[address] = deadline
         self._handle_report(report)
+        if is_new:
+            # It may know nothing yet, and take callers before the next round.
+            self._send_to([report.address])
 
     def error_received(self, exc: Exception) -> None:
         """Log a send error of an earlier message; later ones may succeed."""
--- a/tests/router/test_gossip.py
+++ b/tests/router/test_gossip.py
@@ -5,6 +5,8 @@
 import math
 import socket
 
+import pytest
+
 from tests.router import test_peers
 from wagtailstream_router import event_log, gossip, peer_report, rotation
 
@@ -77,6 +79,26 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def test_an_instance_that_starts_is_told_the_state_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(gossip, "INTERVAL_SECONDS", 1000.0)
+    addresses = pick_addresses(2)
+    tasks = []
+    try:
+        async with asyncio.timeout(10.0):
+            for address in addresses:
+                instance = make_gossip(address, addresses[:1], [])
+                tasks.append(asyncio.ensure_future(instance.run()))
+                await asyncio.sleep(0.1)
+            while not instance.alive:
+                await asyncio.sleep(0.01)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def test_bounded_rounds_reach_all_addresses_in_turn() -> None:
     addresses = {f"10.0.0.{number}:1" for number in range(30)}
     reached: set[str] = set()
