Bound the work and memory for suspected prompt parts

Callers of an instance with hundreds of suspected parts would wait while it ranked them for each message of a peer; read, not seen. Parts with a single crash can neither be blocked nor explain another's, and are left out of the ranking; 16 crashes are kept for a part, so that messages stay short. The test of the bounds checks it.

Also states the settled version of a service more plainly; no decision changes.

--- a/packages/wagtailstream-router/wagtailstream_router/part_board.py
+++ b/packages/wagtailstream-router/wagtailstream_router/part_board.py
@@ -36,6 +36,8 @@
 # Upper bounds of the parts that are stored: suspected ones, and all others.
 MAX_SUSPECTS = 256
 MAX_PARTS = 4096
+# Upper bound of the crashes that are stored for a part; the newest stay.
+MAX_CRASHES = 16
 # Upper bound of the parts in one message; those with most crashes go first.
 MAX_REPORTED = 16
 # How long peers are told that a part which they suspect is sound.
@@ -160,6 +162,8 @@
         crashes = self._suspects.setdefault(part, {})
         # Peers pass crashes on with a delay; the earliest time is the best.
         crashes[endpoint] = min(at, crashes.get(endpoint, at))
+        if len(crashes) > MAX_CRASHES:
+            del crashes[min(crashes, key=lambda name: crashes[name])]
 
     def is_near_limit(self, call: request.Request) -> bool:
         """Return whether one more crash may block a request."""
@@ -225,7 +229,11 @@
         """
         blocked = set()
         unexplained = {}
-        left = {part: set(ends) for part, ends in self._suspects.items()}
+        left = {
+            part: set(crashes)
+            for part, crashes in self._suspects.items()
+            if len(crashes) >= REPEAT_CRASH_LIMIT
+        }
         while left:
             part = max(left, key=lambda name: self._rank(name, left[name]))
             explained = left.pop(part)
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -306,21 +306,21 @@
         other.
         """
         progress = self._progress.get(service)
-        target = progress.order.target if progress is not None else None
-        for version in self._seen_versions[service]:
-            if version != target and _has_version(members, version):
-                old = version
-                break
-        else:
-            old = ""
-        if progress is None or not _has_version(
-            members, progress.order.target
-        ):
+        target = progress.order.target if progress is not None else ""
+        old = next(
+            (
+                version
+                for version in self._seen_versions[service]
+                if version != target and _has_version(members, version)
+            ),
+            "",
+        )
+        if progress is None or not _has_version(members, target):
             return old
         if progress.stage is rollout_state.Stage.COMPLETED:
-            return progress.order.target
+            return target
         if progress.stage is rollout_state.Stage.RUNNING:
-            return old or progress.order.target
+            return old or target
         return old
 
     def _choose_during_rollout(
--- a/tests/router/test_part_board.py
+++ b/tests/router/test_part_board.py
@@ -164,6 +164,11 @@
     assert len(board._sent) == 4
     assert len(board._sound_at) == 4
     assert len(part_board.list_parts(make_call("x" * 1000))[0]) == 16
+    for number in range(50):
+        crash(board, f"e{number}", "bad")
+    (worst, *_) = board.make_report().suspicions
+    assert len(worst.crash_ages) == part_board.MAX_CRASHES
+    assert is_blocked(board, "bad")
 
 
 def test_suspicions_survive_encoding() -> None:
