Log the offsets of a lost history and the limit of a late answer

Two hypotheses of the incident could not be told apart from the logs. A topic that was compacted and one that went back to an older copy gave the same history_lost line; it now has the offset of the copy and the end of the store. Whether a slow version's answers were under the limit from which they count as late was in no line; answered lines of plain services now have it.

--- a/packages/wagtailstream-router/wagtailstream_router/answer_watch.py
+++ b/packages/wagtailstream-router/wagtailstream_router/answer_watch.py
@@ -26,6 +26,7 @@
         limit_ms: float,
         record: collections.abc.Callable[[rollout_state.Sample], None],
     ) -> None:
+        self._limit_ms = limit_ms
         self._record = record
         self._is_recorded = False
         self._has_arrived = False
@@ -33,6 +34,11 @@
             limit_ms / 1000.0, self._record_once, True
         )
 
+    @property
+    def limit_ms(self) -> float:
+        """The time after which the answer is late."""
+        return self._limit_ms
+
     @property
     def has_arrived(self) -> bool:
         """Whether the answer began to arrive."""
--- a/packages/wagtailstream-router/wagtailstream_router/follower.py
+++ b/packages/wagtailstream-router/wagtailstream_router/follower.py
@@ -183,11 +183,16 @@
         try:
             page = await self._topic.read_from(self._copy.end, wait)
         except errors.StoreCompactedError as error:
+            began = time.monotonic()
+            page = await self._topic.read_newest()
             self._log.write(
-                "history_lost", topic=self._topic.name, detail=error.detail
+                "history_lost",
+                topic=self._topic.name,
+                detail=error.detail,
+                offset_before=self._copy.end,
+                offset_after=page.next_offset,
             )
-            began = time.monotonic()
-            self._copy.reset(await self._topic.read_newest(), began)
+            self._copy.reset(page, began)
             return
         # A long poll that returns nothing confirms the replica up to its end.
         self._copy.extend(page, began if page.records else began + wait)
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -225,7 +225,7 @@
             seconds = time.monotonic() - began
             member.health.record_success(seconds * 1000.0)
             self._retry_policy.record_answer(task, member)
-        self._send_answer(task, member, head, body)
+        self._send_answer(task, member, head, body, watch)
         return True
 
     async def _read_body(
@@ -269,6 +269,7 @@
         member: directory.Member,
         head: request.AnswerHead,
         body: bytes,
+        watch: answer_watch.AnswerWatch,
     ) -> None:
         now = time.monotonic()
         self._counters.count(
@@ -287,6 +288,7 @@
             version=member.entry.version,
             sent=task.sent,
             ms=round((now - task.call.arrived) * 1000.0, 1),
+            late_after_ms=round(watch.limit_ms, 1),
             configuration=task.configuration_version,
         )
         task.reply.send(head.status, head.headers, body)
