Follow the store into a new era when it comes back from an older copy

Callers saw an old configuration after a newer one was acknowledged, and a bad version that got requests again after it was rolled back.

Cause: an offset was taken for a position for good. After the store came back from an older copy, a replica that stood beyond the store's end refused every page until the end had passed it, one that stood within missed the records that were given the same offsets, and an order that was written again at another offset was a new order. A lost status was never written again. The class: a logical clock of one epoch compared with that of another.

A position is now an era and an offset. A page of another era, or a 410, makes the follower read its topic anew; what is believed stays until newer records come: configurations by version, entries by start and write number, orders by target. Appends answered in another era are neither confirmed nor rejected. Messages between instances carry the era, so one that hears of two takes the newer.

--- a/packages/wagtailstream-router/wagtailstream_router/active_configuration.py
+++ b/packages/wagtailstream-router/wagtailstream_router/active_configuration.py
@@ -30,7 +30,7 @@
         self._codec = codec
         self._log = log
         self._seen_change = -1
-        self._seen_offset = -1
+        self._seen_value: bytes | None = None
         self._value: configuration.Configuration | None = None
 
     @property
@@ -55,9 +55,9 @@
         record = self._copy.records.get(CONFIGURATION_KEY)
         if record is None or record.value is None:
             return
-        if record.offset <= self._seen_offset:
+        if record.value == self._seen_value:
             return
-        self._seen_offset = record.offset
+        self._seen_value = record.value
         try:
             value = self._codec.decode_configuration(record.value)
         except ValueError as error:
@@ -68,6 +68,12 @@
             )
             return
         if self._value is not None and value.version <= self._value.version:
+            self._log.write(
+                "configuration_ignored",
+                offset=record.offset,
+                detail=f"version {value.version} is not newer than"
+                f" {self._value.version}, which is in force",
+            )
             return
         self._value = value
         self._log.write(
--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -342,6 +342,10 @@
         self._counters.set(counter.CONNECTIONS_OPENED, self._pool.opened)
         self._counters.set(counter.LOG_LINES_DROPPED, self._log.dropped)
         self._counters.set(counter.ENDPOINTS_CRASHED, self._crashes.total)
+        self._counters.set(
+            counter.STORE_RESTORES,
+            max(self._operator.restores, self._entries.restores),
+        )
 
     def _on_operator_change(self) -> None:
         self._listeners.set_idle_limit(
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -1,6 +1,7 @@
 """The directory of endpoints, built from their entries in the store."""
 
 import collections.abc
+import dataclasses
 import time
 
 from wagtailstream_router import (
@@ -19,6 +20,25 @@
 LAPSE_GRACE_SECONDS = 2.0
 
 
+# How long the last write of an endpoint's entry is remembered; longer than the
+# time by which a restored store may be behind, some seconds in the users'
+# specification.
+KEEP_WRITES_SECONDS = 60.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Write:
+    """The last write of an endpoint's entry.
+
+    :param order: the endpoint's start and the number of the write since; a
+        later write is greater.
+    :param at: when it was read, by the monotonic clock.
+    """
+
+    order: tuple[int, int]
+    at: float
+
+
 class PendingWork:
     """Prompts queued at an endpoint, which prefills one after another."""
 
@@ -125,6 +145,8 @@
         self._seen_change = -1
         self._values: dict[str, bytes] = {}
         self._changed_end = 0
+        self._seen_era = 0
+        self._last_writes: dict[str, _Write] = {}
 
     @property
     def members(self) -> dict[str, Member]:
@@ -193,6 +215,10 @@
         """Apply the changes of the entries since the last refresh."""
         self._remove_expired()
         copy = self._source
+        if copy.end.era != self._seen_era:
+            self._seen_era = copy.end.era
+            # Offsets of the era before can't be compared with the new ones.
+            self._changed_end = copy.end.offset
         if copy.change == self._seen_change:
             return
         self._seen_change = copy.change
@@ -215,9 +241,15 @@
             self._log.write_routine("entry_ignored", endpoint=identity)
             return
         current = self._members.get(identity)
+        if self._is_outdated(entry, current):
+            self._log.write_routine(
+                "entry_outdated", endpoint=identity, sequence=entry.sequence
+            )
+            return
+        self._record_write(entry)
         if current is None or current.entry.born_ms != entry.born_ms:
             self._members[identity] = Member(entry)
-            self._changed_end = self._source.end
+            self._changed_end = self._source.end.offset
             self._log.write(
                 "endpoint_joined",
                 endpoint=identity,
@@ -227,7 +259,7 @@
             )
             return
         if current.entry != entry or current.is_lapsed:
-            self._changed_end = self._source.end
+            self._changed_end = self._source.end.offset
         if current.entry.state is not entry.state:
             self._log.write(
                 "endpoint_state", endpoint=identity, state=entry.state.value
@@ -235,10 +267,43 @@
         current.entry = entry
         current.grace_until = None
 
+    def _is_outdated(
+        self, entry: endpoint.Endpoint, current: Member | None
+    ) -> bool:
+        """Return whether an entry is a remnant in a restored store.
+
+        The copy that the store came back from may hold entries from before
+        what is believed. Of an endpoint that has left, the last entry seen is
+        a remnant too.
+        """
+        last = self._last_writes.get(entry.identity)
+        if (
+            last is None
+            or entry.sequence is None
+            or not self._source.is_settling
+        ):
+            return False
+        write = (entry.born_ms, entry.sequence)
+        return write < last.order or (current is None and write == last.order)
+
+    def _record_write(self, entry: endpoint.Endpoint) -> None:
+        if entry.sequence is None:
+            return
+        now = time.monotonic()
+        self._last_writes.pop(entry.identity, None)
+        self._last_writes[entry.identity] = _Write(
+            (entry.born_ms, entry.sequence), now
+        )
+        # The oldest come first.
+        for identity, write in list(self._last_writes.items()):
+            if now - write.at < KEEP_WRITES_SECONDS:
+                break
+            del self._last_writes[identity]
+
     def _handle_missing(self, identity: str) -> None:
         member = self._members[identity]
         self._values.pop(identity, None)
-        self._changed_end = self._source.end
+        self._changed_end = self._source.end.offset
         if member.is_lapsed:
             return
         now = time.monotonic()
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint.py
@@ -33,6 +33,8 @@
     :param cold_ms: the remaining time of its warm-up after the start.
     :param born_ms: the Unix time of its start; a change under the same id is
         a restart.
+    :param sequence: increases with each write of the entry since the start;
+        None if the entry has none. It says nothing about the endpoint.
     """
 
     identity: str
@@ -45,3 +47,4 @@
     cold_ms: float
     models: tuple[ServedModel, ...]
     born_ms: int
+    sequence: int | None = dataclasses.field(default=None, compare=False)
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -189,8 +189,8 @@
             "read body", self._address, "the body is incomplete"
         )
 
-    async def read_answer(self) -> tuple[int, bytes]:
-        """Return the status and the complete body of an answer.
+    async def read_answer(self) -> tuple[request.AnswerHead, bytes]:
+        """Return the head and the complete body of an answer.
 
         :raises errors.BrokenAnswerError: the answer is missing or incomplete.
         """
@@ -198,7 +198,7 @@
         chunks = []
         while (chunk := await self.read_chunk()) is not None:
             chunks.append(chunk)
-        return head.status, b"".join(chunks)
+        return head, b"".join(chunks)
 
     def _end_answer(self) -> None:
         extra, _ = self._framing.trailing_data
--- a/packages/wagtailstream-router/wagtailstream_router/errors.py
+++ b/packages/wagtailstream-router/wagtailstream_router/errors.py
@@ -21,13 +21,20 @@
 
 
 class StoreCompactedError(StoreError):
-    """The requested records were compacted away."""
+    """The store does not have the requested records."""
 
 
 class StoreConflictError(StoreError):
     """The topic does not end at the offset that an append expects."""
 
 
+class StoreEraError(StoreError):
+    """The store came back from an older copy during the call.
+
+    Whether an append took effect is unknown.
+    """
+
+
 class NotSentError(RouterError):
     """No byte of the request was sent, so it has not run."""
 
--- a/packages/wagtailstream-router/wagtailstream_router/follower.py
+++ b/packages/wagtailstream-router/wagtailstream_router/follower.py
@@ -34,15 +34,15 @@
     """A peer's copy of a topic, which can replace a read of the store.
 
     :param source: reads the peer's copy.
-    :param end: the offset up to which the peer has read the topic.
-    :param changed_end: the offset after the last record that other instances
-        have to read; heartbeats of endpoints don't count.
+    :param end: where the peer's copy ends.
+    :param changed_end: the offset in the same era after the last record that
+        other instances have to read; heartbeats of endpoints don't count.
     :param at: when the peer's copy was last known to be complete, by this
         process's monotonic clock.
     """
 
     source: store.Topic
-    end: int
+    end: store.Position
     changed_end: int
     at: float
 
@@ -106,6 +106,12 @@
         self._takes_peer_records = takes_peer_records
         self._lost_at: float | None = None
         self._notified_change = 0
+        self._restores = 0
+
+    @property
+    def restores(self) -> int:
+        """How often the store came back from an older copy."""
+        return self._restores
 
     @property
     def copy(self) -> replica.Replica:
@@ -144,8 +150,15 @@
         :returns: whether the replica is recent enough to skip the store.
         """
         peer_copy = self._peer_copies.find(self._topic.name)
-        if peer_copy is not None and self._copy.is_loaded:
-            if peer_copy.changed_end <= self._copy.end:
+        if (
+            peer_copy is not None
+            and self._copy.is_loaded
+            and peer_copy.end.era >= self._copy.end.era
+        ):
+            changed_end = store.Position(
+                peer_copy.end.era, peer_copy.changed_end
+            )
+            if changed_end <= self._copy.end:
                 self._copy.skip_to(peer_copy.end, peer_copy.at)
             elif self._takes_peer_records or self.is_lost:
                 await self._read_peer(peer_copy)
@@ -161,6 +174,10 @@
             # The store is read instead, once the replica is too old.
             self._log.write_routine("peer_copy_failed", detail=str(error))
             return
+        if page.end < self._copy.end:
+            return
+        if page.era != self._copy.end.era:
+            self._log_reload(page)
         self._copy.reset(page, peer_copy.at)
         self._log.write_routine(
             "peer_copy_taken", topic=self._topic.name, offset=page.next_offset
@@ -170,32 +187,65 @@
     async def read_once(self) -> None:
         """Read new records from the store, or all if that is not possible.
 
-        All are read if the replica is empty or the store has compacted the
-        records that follow it.
+        All are read if the replica is empty, the store does not have the
+        records that follow it, or the store's era has changed.
 
         :raises errors.StoreError: there was no usable answer.
         """
-        began = time.monotonic()
-        if not self._copy.is_loaded:
-            self._copy.reset(await self._topic.read_newest(), began)
+        if self._copy.is_loaded and await self._read_changes():
             return
+        began = time.monotonic()
+        page = await self._topic.read_newest()
+        if page.era < self._copy.end.era:
+            raise errors.StoreError(
+                "read",
+                self._topic.name,
+                f"era {page.era} after era {self._copy.end.era}",
+            )
+        if self._copy.is_loaded:
+            self._log_reload(page)
+        self._copy.reload(page, began)
+
+    async def _read_changes(self) -> bool:
+        """Read the records that follow the replica.
+
+        :returns: whether they do; offsets of another era are given out again.
+        :raises errors.StoreError: there was no usable answer.
+        """
+        began = time.monotonic()
         wait = self._read_timing.wait_seconds
+        end = self._copy.end
         try:
-            page = await self._topic.read_from(self._copy.end, wait)
-        except errors.StoreCompactedError as error:
-            began = time.monotonic()
-            page = await self._topic.read_newest()
+            page = await self._topic.read_from(end.offset, wait)
+        except errors.StoreCompactedError:
+            return False
+        if page.era != end.era:
+            return False
+        # A long poll that returns nothing confirms the replica up to its end.
+        self._copy.extend(page, began if page.records else began + wait)
+        return True
+
+    def _log_reload(self, page: store.Page) -> None:
+        """Log why all records are read: a restored store, or a compaction."""
+        before = self._copy.end
+        if page.era == before.era and page.next_offset >= before.offset:
             self._log.write(
                 "history_lost",
                 topic=self._topic.name,
-                detail=error.detail,
-                offset_before=self._copy.end,
+                offset_before=before.offset,
                 offset_after=page.next_offset,
             )
-            self._copy.reset(page, began)
             return
-        # A long poll that returns nothing confirms the replica up to its end.
-        self._copy.extend(page, began if page.records else began + wait)
+        self._restores += 1
+        self._log.write(
+            "store_restored",
+            topic=self._topic.name,
+            era_before=before.era,
+            era_after=page.era,
+            offset_before=before.offset,
+            offset_after=page.next_offset,
+            records_lost=self._copy.count_missing(page),
+        )
 
     def _notify_change(self) -> None:
         if self._copy.change != self._notified_change:
@@ -216,6 +266,6 @@
             "store_regained",
             topic=self._topic.name,
             after_seconds=round(time.monotonic() - self._lost_at, 3),
-            offset=self._copy.end,
+            offset=self._copy.end.offset,
         )
         self._lost_at = None
--- a/packages/wagtailstream-router/wagtailstream_router/metrics.py
+++ b/packages/wagtailstream-router/wagtailstream_router/metrics.py
@@ -37,6 +37,7 @@
     CLIMB_DENIED = "climb_denied"
     RESUMED = "resumed"
     STORE_CALLS = "store_calls"
+    STORE_RESTORES = "store_restores"
     CONNECTIONS_OPENED = "connections_opened"
     ENDPOINTS_PAUSED = "endpoints_paused"
     ENDPOINTS_CRASHED = "endpoints_crashed"
--- a/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_copy.py
@@ -73,9 +73,9 @@
         try:
             fields = [("Host", self._address)]
             link.send("GET", PATH_PREFIX + self._name, fields, b"")
-            status, body = await link.read_answer()
-            if status != 200:
-                raise ValueError(f"status {status}")
+            head, body = await link.read_answer()
+            if head.status != 200:
+                raise ValueError(f"status {head.status}")
             return body
         finally:
             self._pool.release(link)
@@ -88,7 +88,9 @@
             f"a peer has no records from offset {offset} on, only newest ones",
         )
 
-    async def append(self, key: str, value: bytes, expected_end: int) -> int:
+    async def append(
+        self, key: str, value: bytes, expected_end: store.Position
+    ) -> None:
         """Raise an error: only the store accepts records."""
         raise errors.StoreError(
             "append", self._address, "a peer's copy is read-only"
@@ -96,12 +98,12 @@
 
 
 def encode(copy: replica.Replica) -> bytes:
-    """Return a copy as JSON: its end offset, then rows of its records."""
+    """Return a copy as JSON: its era and end, then rows of its records."""
     rows = [
         [key, base64.b64encode(record.value or b"").decode(), record.offset]
         for key, record in copy.records.items()
     ]
-    return orjson.dumps([copy.end, rows])
+    return orjson.dumps([copy.end.era, copy.end.offset, rows])
 
 
 def _decode(data: bytes) -> store.Page:
@@ -110,13 +112,14 @@
     :raises ValueError: the bytes are not an encoded copy.
     """
     try:
-        end, rows = orjson.loads(data)
+        era, end, rows = orjson.loads(data)
         return store.Page(
             tuple(
                 store.Record(str(key), base64.b64decode(value), int(offset))
                 for key, value, offset in rows
             ),
             int(end),
+            int(era),
         )
     except TypeError as error:
         raise ValueError(f"not a copy of a topic: {error!r}") from error
@@ -140,18 +143,21 @@
 
     def find(self, topic: str) -> follower.PeerCopy | None:
         """Return the newest copy of a topic among live peers, if any."""
-        best: follower.PeerCopy | None = None
-        for peer in self._peers.alive:
-            for peer_copy in peer.report.copies:
-                at = peer.heard_at - peer_copy.age_seconds
-                if peer_copy.topic == topic and (best is None or at > best.at):
-                    best = follower.PeerCopy(
-                        PeerTopic(self._pool, peer.report.address, topic),
-                        peer_copy.end,
-                        peer_copy.changed_end,
-                        at,
-                    )
-        return best
+        found = [
+            follower.PeerCopy(
+                PeerTopic(self._pool, peer.report.address, topic),
+                peer_copy.end,
+                peer_copy.changed_end,
+                peer.heard_at - peer_copy.age_seconds,
+            )
+            for peer in self._peers.alive
+            for peer_copy in peer.report.copies
+            if peer_copy.topic == topic
+        ]
+        # Instances that can't reach the store may still be in an older era.
+        return max(
+            found, key=lambda copy: (copy.end.era, copy.at), default=None
+        )
 
     def max_age_seconds(self, topic: str) -> float:
         """Return the age from which this process reads the store itself.
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -7,11 +7,11 @@
 
 import orjson
 
-from wagtailstream_router import lag, part_board, rollout_state
+from wagtailstream_router import lag, part_board, rollout_state, store
 
 # The first field of a message. Raise it with each change of the fields:
 # messages of instances of another release are ignored, not misread.
-MESSAGE_FORMAT = 4
+MESSAGE_FORMAT = 5
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -56,14 +56,14 @@
 class CopyReport:
     """How current an instance's copy of a topic is.
 
-    :param end: the offset up to which it has read the topic.
-    :param changed_end: the offset after the last record that other instances
-        have to read; heartbeats of endpoints don't count.
+    :param end: where its copy ends.
+    :param changed_end: the offset in the same era after the last record that
+        other instances have to read; heartbeats of endpoints don't count.
     :param age_seconds: the time since the copy was known to be complete.
     """
 
     topic: str
-    end: int
+    end: store.Position
     changed_end: int
     age_seconds: float
 
@@ -144,7 +144,8 @@
             [
                 [
                     copy.topic,
-                    copy.end,
+                    copy.end.era,
+                    copy.end.offset,
                     copy.changed_end,
                     round(copy.age_seconds, 3),
                 ]
@@ -205,7 +206,8 @@
         status.service,
         status.target,
         status.stage.value,
-        status.order_offset,
+        status.order.era,
+        status.order.offset,
         _floor_to_ms(report.age_seconds),
         _encode_evidence(report.evidence),
         [
@@ -276,8 +278,13 @@
                 for endpoint_id, part_hash in warm
             ),
             tuple(
-                CopyReport(str(topic), int(end), int(changed), float(age))
-                for topic, end, changed, age in copies
+                CopyReport(
+                    str(topic),
+                    store.Position(int(era), int(end)),
+                    int(changed),
+                    float(age),
+                )
+                for topic, era, end, changed, age in copies
             ),
             tuple(
                 CrashReport(int(digest), str(endpoint), float(age))
@@ -303,12 +310,21 @@
 
 
 def _decode_rollout(row: list[typing.Any]) -> RolloutReport:
-    service, target, stage, offset, age_seconds, evidence, inherited = row
+    (
+        service,
+        target,
+        stage,
+        era,
+        offset,
+        age_seconds,
+        evidence,
+        inherited,
+    ) = row
     status = rollout_state.Status(
         str(service),
         str(target),
         rollout_state.Stage(stage),
-        int(offset),
+        store.Position(int(era), int(offset)),
     )
     return RolloutReport(
         status,
--- a/packages/wagtailstream-router/wagtailstream_router/replica.py
+++ b/packages/wagtailstream-router/wagtailstream_router/replica.py
@@ -8,18 +8,22 @@
 # lapsed during an outage of the store. The limit is shorter than three
 # heartbeats of the endpoints in the users' specification.
 STALE_SECONDS = 1.9
+# How long after the store came back from an older copy records may still be
+# written again: five times the two seconds of the users' specification.
+SETTLE_SECONDS = 10.0
 
 
 class Replica:
     """The newest record of each key, up to an offset.
 
-    The offset never decreases: results of a slow read or an outdated peer are
-    ignored.
+    Its end never moves back, except to that of the store itself: outdated
+    copies of peers are ignored.
     """
 
     def __init__(self) -> None:
         self._records: dict[str, store.Record] = {}
-        self._end = -1
+        self._end = store.Position(0, -1)
+        self._era_began_at = float("-inf")
         self._current_at = float("-inf")
         self._change = 0
         self._reconfirmed_at = float("-inf")
@@ -35,14 +39,19 @@
         return self.age() > STALE_SECONDS
 
     @property
-    def end(self) -> int:
-        """The offset up to which the topic was read; -1 before any read."""
+    def is_settling(self) -> bool:
+        """Whether lost records may still be written again in this era."""
+        return time.monotonic() - self._era_began_at < SETTLE_SECONDS
+
+    @property
+    def end(self) -> store.Position:
+        """Where the copy ends; offset -1 before any read."""
         return self._end
 
     @property
     def is_loaded(self) -> bool:
         """Whether the topic was read completely at least once."""
-        return self._end >= 0
+        return self._end.offset >= 0
 
     @property
     def change(self) -> int:
@@ -67,47 +76,62 @@
             self._reconfirmed_at = time.monotonic()
         self._current_at = max(self._current_at, at)
 
-    def skip_to(self, end: int, at: float) -> None:
-        """Skip records up to an offset without reading them.
+    def skip_to(self, end: store.Position, at: float) -> None:
+        """Skip records up to a position without reading them.
 
         A peer has read them, and they changed nothing.
 
-        :param end: the offset up to which the peer has read the topic.
+        :param end: where the peer's copy ends, in the same era.
         :param at: when the peer's copy was known to be complete.
         """
         self._end = max(self._end, end)
         self.confirm(at)
 
     def reset(self, page: store.Page, at: float) -> None:
-        """Replace all records by the newest record of each key.
+        """Replace all records by a peer's, unless they are older.
+
+        :param page: the newest record of each key.
+        :param at: when the read began, by the monotonic clock.
+        """
+        if page.end >= self._end:
+            self.reload(page, at)
+
+    def reload(self, page: store.Page, at: float) -> None:
+        """Replace all records by those in the store.
 
         :param page: the newest record of each key.
         :param at: when the read began, by the monotonic clock.
         """
-        if page.next_offset < self._end:
-            return
+        if self.is_loaded and page.era != self._end.era:
+            now = time.monotonic()
+            # Entries that are missing may be written again, as after an
+            # outage.
+            self._era_began_at = self._reconfirmed_at = now
         records = {record.key: record for record in page.records}
-        for key, record in self._records.items():
-            # The page may be older than this replica: keep records that were
-            # appended after it.
-            if record.offset >= page.next_offset and key not in records:
-                records[key] = record
         if records != self._records:
             self._change += 1
         self.confirm(at)
         self._records = records
-        self._end = page.next_offset
+        self._end = page.end
+
+    def count_missing(self, page: store.Page) -> int:
+        """Return how many of the records a page of newest records lacks."""
+        values = {record.key: record.value for record in page.records}
+        return sum(
+            values.get(key) != record.value
+            for key, record in self._records.items()
+        )
 
     def extend(self, page: store.Page, at: float) -> None:
-        """Apply the records that follow the replica's end.
+        """Apply the records that follow the replica's end, in its era.
 
         :param page: the records from `end` on.
         :param at: when the replica was complete, by the monotonic clock.
         """
         for record in page.records:
-            if record.offset >= self._end:
+            if record.offset >= self._end.offset:
                 self._apply(record)
-        self._end = max(self._end, page.next_offset)
+        self._end = max(self._end, page.end)
         self.confirm(at)
 
     def _apply(self, record: store.Record) -> None:
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -13,6 +13,7 @@
     replica,
     rollout_progress,
     rollout_state,
+    store,
     wire,
 )
 
@@ -47,7 +48,9 @@
         self._log = log
         self._seen_change = -1
         self._was_loaded = False
+        self._seen_era = 0
         self._progress: dict[str, rollout_progress.Progress] = {}
+        self._superseded: dict[str, set[str]] = {}
         self._seen_versions: dict[str, list[str]] = {}
         self._logged_evidence: dict[str, rollout_progress.Totals] = {}
         self._evidence_log_due = float("-inf")
@@ -71,6 +74,11 @@
         # Orders of the first read may have come long before this process.
         is_witness = self._was_loaded
         self._was_loaded = self._operator.is_loaded
+        if self._operator.end.era != self._seen_era:
+            self._seen_era = self._operator.end.era
+            for progress in self._progress.values():
+                # The store may have lost the status.
+                progress.written_stage = None
         if self._operator.change == self._seen_change:
             return
         self._seen_change = self._operator.change
@@ -86,11 +94,18 @@
         except ValueError as error:
             self._log.write("order_ignored", detail=str(error), offset=offset)
             return
+        position = store.Position(self._seen_era, offset)
         progress = self._progress.get(order.service)
-        if progress is not None and progress.order_offset >= offset:
-            return
+        if progress is not None:
+            if progress.position >= position:
+                return
+            if self._is_known(progress, order, position):
+                return
+            self._superseded.setdefault(order.service, set()).add(
+                progress.order.target
+            )
         self._progress[order.service] = rollout_progress.Progress(
-            order, offset, time.monotonic(), is_witness
+            order, position, time.monotonic(), is_witness
         )
         self._log.write(
             "rollout_ordered",
@@ -101,6 +116,36 @@
             is_start_witnessed=is_witness,
         )
 
+    def _is_known(
+        self,
+        progress: rollout_progress.Progress,
+        order: rollout_state.Order,
+        position: store.Position,
+    ) -> bool:
+        """Return whether an order was known before the store was restored.
+
+        It is the newest order, written again, or an earlier one in the copy
+        that the store came back from.
+        """
+        is_restored = (
+            position.era > progress.position.era or self._operator.is_settling
+        )
+        if not is_restored:
+            return False
+        if order.target == progress.order.target:
+            progress.position = position
+            progress.written_stage = None
+            self._log.write(
+                "rollout_order_moved",
+                service=order.service,
+                target=order.target,
+                stage=progress.stage.value,
+                era=position.era,
+                offset=position.offset,
+            )
+            return True
+        return order.target in self._superseded.get(order.service, ())
+
     def merge_record(self, record: rollout_state.StatusRecord) -> None:
         """Merge a status that an instance wrote to the store.
 
@@ -120,7 +165,7 @@
     ) -> rollout_progress.Progress | None:
         """Return the progress of the order that a status is about."""
         progress = self._progress.get(status.service)
-        if progress is None or progress.order_offset != status.order_offset:
+        if progress is None or not progress.status.is_same_order(status):
             return None
         return progress
 
@@ -229,7 +274,7 @@
             part=task.call.shared_part,
             elapsed_share=round(progress.elapsed_share, 3),
             exposure=round(self._exposure_of(task, progress), 3),
-            order=progress.order_offset,
+            order=progress.position.offset,
         )
 
     def _exposure_of(
@@ -384,7 +429,7 @@
                 "rollout_evidence",
                 service=service,
                 target=progress.order.target,
-                order=progress.order_offset,
+                order=progress.position.offset,
                 peers=len(progress.peer_evidence),
                 own_answers=sum(
                     evidence.total for evidence in progress.evidence.values()
@@ -400,7 +445,6 @@
         cause: str,
     ) -> None:
         progress.stage = stage
-        progress.is_written = False
         self._log.write(
             "rollout_ended",
             service=progress.order.service,
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -3,7 +3,7 @@
 import dataclasses
 import time
 
-from wagtailstream_router import rollout_state, rotation
+from wagtailstream_router import rollout_state, rotation, store
 
 # A start that did not tell its evidence for this long may have ended; others
 # pass it on from then on. Instances tell theirs about five times a second.
@@ -19,12 +19,12 @@
     """The state of one roll-out order in this process.
 
     :param order: the operator's order.
-    :param order_offset: the offset of the order in the operator's topic.
+    :param position: where the order is in the operator's topic.
     :param started_at: when the order came, by the monotonic clock.
     :param is_start_witnessed: whether this process, or a peer that told it,
         saw the order come. Otherwise the start is an estimate by wall clocks.
-    :param is_written: whether the final stage is in the status topic.
-    :param is_announced: whether any status is in the status topic.
+    :param written_stage: the stage in the status topic; None if unknown.
+    :param is_announced: whether any status was in the status topic.
     :param evidence: this process's evidence.
     :param peer_evidence: the evidence of other starts, also of ended ones.
     :param heard_at: when each start last told its own evidence, by the
@@ -32,11 +32,11 @@
     """
 
     order: rollout_state.Order
-    order_offset: int
+    position: store.Position
     started_at: float
     is_start_witnessed: bool
     stage: rollout_state.Stage = rollout_state.Stage.RUNNING
-    is_written: bool = False
+    written_stage: rollout_state.Stage | None = None
     is_announced: bool = False
     evidence: rollout_state.EvidenceByVersion = dataclasses.field(
         default_factory=dict
@@ -51,9 +51,7 @@
     @property
     def needs_write(self) -> bool:
         """Whether the status has to be written for the operator."""
-        if self.stage is rollout_state.Stage.RUNNING:
-            return not self.is_announced
-        return not self.is_written
+        return self.written_stage is not self.stage
 
     @property
     def is_verdict_known(self) -> bool:
@@ -75,7 +73,7 @@
             self.order.service,
             self.order.target,
             self.stage,
-            self.order_offset,
+            self.position,
         )
 
     @property
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -4,6 +4,8 @@
 import enum
 import math
 
+from wagtailstream_router import store
+
 
 class Stage(enum.Enum):
     """The stage of a roll-out, as reported to the operator."""
@@ -30,13 +32,23 @@
 class Status:
     """The status of a roll-out, as exchanged with peers and the operator.
 
-    :param order_offset: the offset of the order in the operator's topic.
+    :param order: where the order is in the operator's topic.
     """
 
     service: str
     target: str
     stage: Stage
-    order_offset: int
+    order: store.Position
+
+    def is_same_order(self, other: "Status") -> bool:
+        """Return whether two statuses are about the same order.
+
+        In another era the order is at another position, if the store had lost
+        it and it was written again.
+        """
+        if (self.service, self.target) != (other.service, other.target):
+            return False
+        return self.order == other.order or self.order.era != other.order.era
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_status.py
@@ -66,7 +66,7 @@
             rollout_state.StatusRecord(progress.status, round(started_ms))
         )
         try:
-            await self._topic.append(key, value, page.next_offset)
+            await self._topic.append(key, value, page.end)
         except errors.StoreConflictError:
             # Another process wrote first; the next step reads its status.
             return
@@ -80,18 +80,17 @@
         except ValueError as error:
             self._log.write("status_ignored", detail=str(error))
             return
-        if record.status.order_offset != progress.order_offset:
+        if not record.status.is_same_order(progress.status):
             return
         self._rollouts.merge_record(record)
-        if record.status.stage is progress.stage:
-            self._record_written(progress, record.status.stage)
+        self._record_written(progress, record.status.stage)
 
     def _record_written(
         self, progress: rollout_progress.Progress, stage: rollout_state.Stage
     ) -> None:
         progress.is_announced = True
+        progress.written_stage = stage
         if stage is progress.stage:
-            progress.is_written = stage is not rollout_state.Stage.RUNNING
             self._log.write(
                 "rollout_written",
                 service=progress.order.service,
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -100,7 +100,7 @@
         operator = self._state.operator
         entries = self._state.entries
         ends = {
-            operator.topic_name: operator.copy.end,
+            operator.topic_name: operator.copy.end.offset,
             entries.topic_name: self._state.members.changed_end,
         }
         return tuple(
--- a/packages/wagtailstream-router/wagtailstream_router/store.py
+++ b/packages/wagtailstream-router/wagtailstream_router/store.py
@@ -22,12 +22,35 @@
     offset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A position in a topic.
+
+    Each time the store comes back from an older copy, a new era begins in
+    which it gives offsets out again. Only offsets of one era can be compared.
+
+    :param era: the era; 0 before the store first came back.
+    """
+
+    era: int
+    offset: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Page:
-    """Records, and the offset at which the next read continues."""
+    """Records, and where the next read continues.
+
+    :param era: the store's era in which the records were read.
+    """
 
     records: tuple[Record, ...]
     next_offset: int
+    era: int = 0
+
+    @property
+    def end(self) -> Position:
+        """The position at which the next read continues."""
+        return Position(self.era, self.next_offset)
 
 
 class Topic(abc.ABC):
@@ -50,17 +73,23 @@
         """Return the records from an offset on.
 
         :param wait_seconds: how long to wait for a record; 0 returns at once.
-        :raises errors.StoreCompactedError: the records were compacted away.
+        :raises errors.StoreCompactedError: the store does not have the
+            offset: the records were compacted away, or it came back from an
+            older copy.
         :raises errors.StoreError: there was no usable answer.
         """
 
     @abc.abstractmethod
-    async def append(self, key: str, value: bytes, expected_end: int) -> int:
-        """Append a record if the topic ends at an offset.
+    async def append(
+        self, key: str, value: bytes, expected_end: Position
+    ) -> None:
+        """Append a record if the topic ends at a position.
 
-        :param expected_end: the offset at which the topic has to end.
-        :returns: the topic's new end.
+        :param expected_end: where the topic has to end.
         :raises errors.StoreConflictError: the topic ends at another offset.
+        :raises errors.StoreEraError: the store is in another era, in which the
+            offset may be that of other records; the record may have been
+            appended.
         :raises errors.StoreError: there was no usable answer; the record may
             have been appended.
         """
@@ -93,6 +122,7 @@
         self._records: list[Record] = []
         self._newest: dict[str, Record] = {}
         self._first = 0
+        self._era = 0
         self._appended = asyncio.Event()
         self.fault: errors.StoreError | None = None
 
@@ -108,6 +138,13 @@
         self._appended.set()
         self._appended = asyncio.Event()
 
+    def restore(self, end: int) -> None:
+        """Drop the records from an offset on, and begin a new era."""
+        del self._records[max(0, end - self._first) :]
+        self._era += 1
+        self._appended.set()
+        self._appended = asyncio.Event()
+
     def compact(self) -> None:
         """Drop the history; the newest record of each key stays readable."""
         self._newest = {record.key: record for record in self._list_newest()}
@@ -118,44 +155,48 @@
         """Return the newest record of each key."""
         self._check()
         end = self._first + len(self._records)
-        return Page(tuple(self._list_newest()), end)
+        return Page(tuple(self._list_newest()), end, self._era)
 
     async def read_from(self, offset: int, wait_seconds: float) -> Page:
         """Return the records from an offset on."""
         self._check()
-        if offset < self._first:
-            raise errors.StoreCompactedError(
-                "read",
-                self._name,
-                f"records from offset {offset} are no longer kept",
-            )
+        self._check_kept(offset)
         place = offset - self._first
         if place >= len(self._records) and wait_seconds:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(wait_seconds):
                     await self._appended.wait()
             self._check()
-        if offset < self._first:
-            raise errors.StoreCompactedError(
-                "read",
-                self._name,
-                f"records from offset {offset} are no longer kept",
-            )
+        self._check_kept(offset)
         records = tuple(self._records[offset - self._first :])
-        return Page(records, offset + len(records))
+        return Page(records, offset + len(records), self._era)
 
-    async def append(self, key: str, value: bytes, expected_end: int) -> int:
-        """Append a record if the topic ends at an offset."""
+    async def append(
+        self, key: str, value: bytes, expected_end: Position
+    ) -> None:
+        """Append a record if the topic ends at a position."""
         self._check()
-        end = self._first + len(self._records)
+        end = Position(self._era, self._first + len(self._records))
+        if end.era != expected_end.era:
+            raise errors.StoreEraError(
+                "append", self._name, f"era {end.era}, not {expected_end.era}"
+            )
         if end != expected_end:
             raise errors.StoreConflictError(
                 "append",
                 self._name,
-                f"topic ends at offset {end}, not {expected_end}",
+                f"topic ends at offset {end.offset}, not"
+                f" {expected_end.offset}",
             )
         self.put(key, value)
-        return end + 1
+
+    def _check_kept(self, offset: int) -> None:
+        if not self._first <= offset <= self._first + len(self._records):
+            raise errors.StoreCompactedError(
+                "read",
+                self._name,
+                f"records from offset {offset} are not kept",
+            )
 
     def _check(self) -> None:
         if self.fault is not None:
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -125,3 +125,20 @@
     fleet.platform.put_configuration(support.make_configuration(version=2))
     await fleet.wait_for(lambda: fleet.router.configuration_version == 2)
     await fleet.wait_for(lambda: fleet.router.endpoint_count == 1)
+
+
+async def test_a_revoked_key_stays_revoked_when_the_store_goes_back(
+    fleet: support.Fleet,
+) -> None:
+    await fleet.add_endpoint("plain-1", "plain")
+    await fleet.start()
+    fleet.platform.put_configuration(support.make_configuration(2, tenants=[]))
+    await fleet.wait_for(lambda: fleet.router.configuration_version == 2)
+    assert (await fleet.call("GET", support.SAFE_PATH)).status == 401
+    fleet.platform.operator.restore(1)
+    await fleet.wait_for_event("store_restored")
+    assert (await fleet.call("GET", support.SAFE_PATH)).status == 401
+    table = support.make_configuration(3)
+    fleet.platform.put_configuration(table)
+    await fleet.wait_for(lambda: fleet.router.configuration_version == 3)
+    assert (await fleet.call("GET", support.SAFE_PATH)).status == 200
--- a/tests/router/test_log_store.py
+++ b/tests/router/test_log_store.py
@@ -9,6 +9,8 @@
 from wagtailstream_adapter import log_store, names
 from wagtailstream_router import errors, metrics, store
 
+START = store.Position(0, 0)
+
 
 @pytest_asyncio.fixture
 async def server() -> collections.abc.AsyncIterator[
@@ -73,9 +75,10 @@
 async def test_a_conflicting_append_fails(
     server: platform_store.PlatformStore, topics: store.Store
 ) -> None:
-    assert await topics.status.append("rollout/s", b"first", 0) == 1
+    await topics.status.append("rollout/s", b"first", START)
+    assert (await topics.status.read_newest()).end == store.Position(0, 1)
     with pytest.raises(errors.StoreConflictError):
-        await topics.status.append("rollout/s", b"second", 0)
+        await topics.status.append("rollout/s", b"second", START)
     assert server.topic(names.STATUS_TOPIC).newest["rollout/s"][1] == b"first"
 
 
@@ -99,7 +102,7 @@
     monkeypatch.setattr(log_store, "CALL_TIMEOUT_SECONDS", 0.05)
     server.fault = fault
     with pytest.raises(errors.StoreError):
-        await topics.status.append("rollout/s", b"value", 0)
+        await topics.status.append("rollout/s", b"value", START)
     server.fault = platform_store.Fault.NONE
     server.released.set()
     # The store appended the record if only its answer was lost.
@@ -111,3 +114,54 @@
     topics = log_store.make_store("127.0.0.1:1", metrics.Metrics())
     with pytest.raises(errors.StoreError):
         await topics.operator.read_newest()
+
+
+async def test_pages_name_the_era_in_which_they_were_read(
+    server: platform_store.PlatformStore, topics: store.Store
+) -> None:
+    server.put(names.STATUS_TOPIC, "a", b"1")
+    server.put(names.STATUS_TOPIC, "a", b"2")
+    assert (await topics.status.read_newest()).end == store.Position(0, 2)
+    server.restore({names.STATUS_TOPIC: 1})
+    assert (await topics.status.read_newest()).end == store.Position(1, 1)
+    assert (await topics.status.read_from(0, 0.0)).era == 1
+    with pytest.raises(errors.StoreCompactedError):
+        await topics.status.read_from(2, 0.0)
+
+
+@pytest.mark.parametrize("records", [0, 1])
+async def test_an_append_is_not_judged_by_an_offset_of_another_era(
+    server: platform_store.PlatformStore, topics: store.Store, records: int
+) -> None:
+    for _ in range(2):
+        server.put(names.STATUS_TOPIC, "a", b"1")
+    end = (await topics.status.read_newest()).end
+    server.restore({names.STATUS_TOPIC: 1})
+    for _ in range(records):
+        server.put(names.STATUS_TOPIC, "a", b"2")
+    with pytest.raises(errors.StoreEraError):
+        await topics.status.append("a", b"3", end)
+
+
+@pytest.mark.parametrize("era", ["0", "-1", "x", "", "2.5"])
+async def test_an_era_that_falls_or_is_no_number_is_malformed(
+    server: platform_store.PlatformStore,
+    topics: store.Store,
+    era: str,
+) -> None:
+    server.era = 1
+    await topics.status.read_newest()
+    server.era = era  # type: ignore[assignment]
+    with pytest.raises(errors.StoreError, match="era"):
+        await topics.status.read_newest()
+
+
+async def test_an_answer_without_an_era_is_of_era_0(
+    server: platform_store.PlatformStore,
+    topics: store.Store,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(platform_store, "ERA_HEADER", "X-Other")
+    assert (await topics.status.read_newest()).era == 0
+    server.era = 1
+    assert (await topics.status.read_newest()).era == 0
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -32,7 +32,10 @@
     (
         peer_report.RolloutReport(
             rollout_state.Status(
-                "engine", "v2", rollout_state.Stage.RUNNING, 4
+                "engine",
+                "v2",
+                rollout_state.Stage.RUNNING,
+                store.Position(1, 4),
             ),
             {"v2": rollout_state.Evidence(4, 1, 2)},
             1.75,
@@ -45,7 +48,7 @@
     ),
     ("127.0.0.1:7001",),
     (("engine-1", 12345),),
-    (peer_report.CopyReport("operator", 8, 7, 0.25),),
+    (peer_report.CopyReport("operator", store.Position(1, 8), 7, 0.25),),
 )
 
 
@@ -80,7 +83,10 @@
     def find(self, topic: str) -> follower.PeerCopy:
         """Return the peer's copy."""
         return follower.PeerCopy(
-            self.source, self.end, self.changed_end, time.monotonic()
+            self.source,
+            store.Position(0, self.end),
+            self.changed_end,
+            time.monotonic(),
         )
 
     def max_age_seconds(self, topic: str) -> float:
@@ -105,7 +111,7 @@
     topic.fault = errors.StoreError("read", "endpoints", "unreachable")
     task = asyncio.ensure_future(topic_follower.run())
     single_peer.end, single_peer.changed_end = 5, 1
-    while copy.end < 5:
+    while copy.end.offset < 5:
         await asyncio.sleep(0.005)
     task.cancel()
     assert not topic_follower.is_lost
--- a/tests/router/test_records.py
+++ b/tests/router/test_records.py
@@ -7,7 +7,7 @@
 
 from tests.router import support
 from wagtailstream_adapter import records
-from wagtailstream_router import configuration, endpoint, rollout_state
+from wagtailstream_router import configuration, endpoint, rollout_state, store
 
 CODEC = records.PlatformRecords()
 ENTRY: dict[str, object] = {
@@ -97,7 +97,7 @@
 
 def test_a_status_survives_encoding() -> None:
     status = rollout_state.Status(
-        "engine", "v2", rollout_state.Stage.ROLLED_BACK, 7
+        "engine", "v2", rollout_state.Stage.ROLLED_BACK, store.Position(2, 7)
     )
     record = rollout_state.StatusRecord(status, 1700)
     assert CODEC.decode_status(CODEC.encode_status(record)) == record
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -312,7 +312,7 @@
     harness: RolloutHarness,
 ) -> None:
     old = rollout_state.Status(
-        "engine", "v2", rollout_state.Stage.COMPLETED, 0
+        "engine", "v2", rollout_state.Stage.COMPLETED, store.Position(0, 0)
     )
     harness.rollouts.merge_status(old)
     progress = harness.rollouts.progress["engine"]
@@ -401,7 +401,7 @@
     record = rollout_state.StatusRecord(
         status, round((time.time() - 12.0) * 1000.0)
     )
-    await topic.append("rollout/engine", CODEC.encode_status(record), 0)
+    topic.put("rollout/engine", CODEC.encode_status(record))
     await make_status_writer(harness, topic).step()
     assert harness.rollouts.progress["engine"].elapsed_share < 0.5
 
--- a/tests/router/test_store_era.py
+++ b/tests/router/test_store_era.py
@@ -1,7 +1,9 @@
 """A store that comes back from an older copy and gives offsets out again."""
 
+import asyncio
 import collections.abc
 import dataclasses
+import time
 
 import orjson
 import pytest
@@ -45,6 +47,7 @@
         """Read both topics once, and apply the changes."""
         await self.operator.read_once()
         await self.entries.read_once()
+        self.configuration.get()
         self.rollouts.refresh()
         self.members.refresh()
 
@@ -130,6 +133,25 @@
         return CODEC.decode_status(page.records[0].value).status
 
 
+class PeerCopies(follower.PeerCopySource):
+    """The copy of a single peer, which replaces the store."""
+
+    def __init__(self, topic: store.Topic, copy: replica.Replica) -> None:
+        self._topic = topic
+        self._copy = copy
+
+    def find(self, topic: str) -> follower.PeerCopy:
+        """Return the peer's copy, confirmed just now."""
+        end = self._copy.end
+        return follower.PeerCopy(
+            self._topic, end, end.offset, time.monotonic()
+        )
+
+    def max_age_seconds(self, topic: str) -> float:
+        """Return one second, after which the store is read."""
+        return 1.0
+
+
 @pytest_asyncio.fixture
 async def drill() -> collections.abc.AsyncIterator[Drill]:
     server = platform_store.PlatformStore()
@@ -140,12 +162,6 @@
     await server.close()
 
 
-KNOWN_RED = pytest.mark.xfail(
-    strict=True, reason="KNOWN-RED.txt: the store's era, issue 28"
-)
-
-
-@KNOWN_RED
 async def test_a_configuration_acknowledged_after_a_restore_is_in_force(
     drill: Drill,
 ) -> None:
@@ -159,7 +175,6 @@
         assert drill.instance.version == version
 
 
-@KNOWN_RED
 async def test_records_at_offsets_given_out_again_are_not_missed(
     drill: Drill,
 ) -> None:
@@ -185,7 +200,6 @@
     assert drill.instance.version == 6
 
 
-@KNOWN_RED
 @pytest.mark.parametrize("other_records", [1, 9])
 async def test_a_rolled_back_version_stays_so_when_its_order_is_rewritten(
     drill: Drill, other_records: int
@@ -212,7 +226,6 @@
     assert drill.instance.count_exposed("v2") == 0
 
 
-@KNOWN_RED
 async def test_a_status_that_the_store_lost_is_written_again(
     drill: Drill,
 ) -> None:
@@ -253,3 +266,190 @@
         drill.write_endpoint("ready", 3)
     await drill.instance.read()
     assert drill.instance.list_ready() == ["ready"]
+
+
+async def test_an_endpoint_written_again_as_it_was_is_not_dropped(
+    drill: Drill,
+) -> None:
+    drill.write_endpoint("a", 1)
+    await drill.instance.read()
+    drill.server.restore({ENDPOINTS: 0})
+    await drill.instance.read()
+    assert drill.instance.members.members["a"].is_lapsed
+    drill.write_endpoint("a", 1)
+    await drill.instance.read()
+    assert not drill.instance.members.members["a"].is_lapsed
+
+
+async def test_a_restarted_endpoint_counts_its_writes_anew(
+    drill: Drill,
+) -> None:
+    drill.write_endpoint("a", 9, state="draining")
+    await drill.instance.read()
+    drill.server.restore({ENDPOINTS: 0})
+    drill.write_endpoint("a", 1, born=2)
+    await drill.instance.read()
+    assert drill.instance.list_ready() == ["a"]
+
+
+async def start_rollout(drill: Drill) -> None:
+    """Order v2 of a service whose settled version is v1."""
+    drill.write_configuration(1)
+    await drill.instance.read()
+    drill.instance.count_exposed("v2")
+    drill.write_order("v2")
+    await drill.instance.read()
+    await drill.instance.status_writer.step()
+
+
+async def test_two_restores_neither_restart_nor_double_a_running_rollout(
+    drill: Drill,
+) -> None:
+    await start_rollout(drill)
+    progress = drill.instance.rollouts.progress["engine"]
+    started_at = progress.started_at
+    for _ in range(2):
+        drill.server.restore({OPERATOR: 1})
+        await drill.instance.read()
+        drill.write_order("v2")
+        await drill.instance.read()
+        await drill.instance.status_writer.step()
+        assert drill.instance.rollouts.progress == {"engine": progress}
+        assert progress.started_at == started_at
+        status = await drill.read_status()
+        assert status == progress.status
+    assert progress.position.era == 2
+
+
+async def test_an_instance_that_starts_takes_over_after_a_restore(
+    drill: Drill,
+) -> None:
+    """The instance that decided was killed before the operator wrote again."""
+    await start_rollout(drill)
+    first = drill.instance.rollouts
+    first.merge_status(
+        dataclasses.replace(
+            first.progress["engine"].status,
+            stage=rollout_state.Stage.ROLLED_BACK,
+        )
+    )
+    drill.server.restore({OPERATOR: 1})
+    await drill.instance.read()
+    await drill.instance.status_writer.step()
+    drill.write_order("v2")
+    other = make_instance(drill.topics, "router-2")
+    await other.read()
+    other.count_exposed("v2")
+    await other.status_writer.step()
+    assert (
+        other.rollouts.progress["engine"].stage
+        is rollout_state.Stage.ROLLED_BACK
+    )
+
+
+async def test_an_earlier_order_in_the_older_copy_is_not_taken_for_a_new_one(
+    drill: Drill,
+) -> None:
+    drill.write_order("v2")
+    await drill.instance.read()
+    drill.write_order("v3")
+    await drill.instance.read()
+    progress = drill.instance.rollouts.progress["engine"]
+    drill.server.restore({OPERATOR: 1})
+    await drill.instance.read()
+    assert drill.instance.rollouts.progress["engine"] is progress
+    drill.write_order("v4")
+    await drill.instance.read()
+    assert drill.instance.rollouts.progress["engine"].order.target == "v4"
+
+
+async def test_instances_in_two_eras_agree_on_a_verdict(drill: Drill) -> None:
+    await start_rollout(drill)
+    other = make_instance(drill.topics, "router-2")
+    await other.read()
+    drill.server.restore({OPERATOR: 1})
+    drill.write_order("v2")
+    await other.read()
+    other.rollouts.merge_status(
+        dataclasses.replace(
+            other.rollouts.progress["engine"].status,
+            stage=rollout_state.Stage.ROLLED_BACK,
+        )
+    )
+    (report,) = other.rollouts.list_reports()
+    drill.instance.rollouts.handle_report(other.rollouts.start, report)
+    progress = drill.instance.rollouts.progress["engine"]
+    assert progress.stage is rollout_state.Stage.ROLLED_BACK
+
+
+async def test_a_peer_in_a_newer_era_is_read_while_the_store_is_away(
+    drill: Drill,
+) -> None:
+    for version in range(1, 7):
+        drill.write_configuration(version)
+    copy = replica.Replica()
+    peer = make_instance(drill.topics, "router-2")
+    reader = follower.Follower(
+        drill.topics.operator,
+        copy,
+        follower.ReadTiming(0.0, 0.01),
+        event_log.MemoryEventLog(),
+        peer_copies=PeerCopies(drill.topics.operator, peer.operator.copy),
+    )
+    await reader.read_once()
+    drill.server.restore({OPERATOR: 1})
+    await peer.read()
+    task = asyncio.ensure_future(reader.run())
+    while copy.end != store.Position(1, 1):
+        await asyncio.sleep(0.005)
+    task.cancel()
+    assert reader.restores == 1
+
+
+async def test_a_peer_in_an_older_era_is_not_believed(drill: Drill) -> None:
+    drill.write_configuration(1)
+    drill.write_configuration(2)
+    peer = make_instance(drill.topics, "router-2")
+    await peer.read()
+    drill.server.restore({OPERATOR: 1})
+    copy = replica.Replica()
+    reader = follower.Follower(
+        drill.topics.operator,
+        copy,
+        follower.ReadTiming(0.0, 0.01),
+        event_log.MemoryEventLog(),
+        peer_copies=PeerCopies(drill.topics.operator, peer.operator.copy),
+    )
+    await reader.read_once()
+    task = asyncio.ensure_future(reader.run())
+    drill.write_order("v2")
+    while copy.end != store.Position(1, 2):
+        await asyncio.sleep(0.005)
+    task.cancel()
+
+
+async def test_a_restore_is_logged_with_eras_offsets_and_losses(
+    drill: Drill,
+) -> None:
+    drill.write_configuration(1)
+    await drill.instance.read()
+    drill.write_order("v2")
+    drill.write_configuration(2)
+    await drill.instance.read()
+    drill.server.restore({OPERATOR: 1})
+    await drill.instance.read()
+    lines = [
+        fields
+        for event, fields in drill.instance.log.lines
+        if event == "store_restored" and fields["topic"] == OPERATOR
+    ]
+    assert lines == [
+        {
+            "topic": OPERATOR,
+            "era_before": 0,
+            "era_after": 1,
+            "offset_before": 3,
+            "offset_after": 1,
+            "records_lost": 2,
+        }
+    ]
