--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -225,7 +225,7 @@
             self._log,
             self._counters,
         )
-        sender = exchange.Sender(self._pool, headers)
+        sender = exchange.Sender(self._pool, headers, self._log)
         plain = forward_plain.PlainForwarder(
             self._members,
             sender,
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -11,6 +11,7 @@
     lag,
     peer_report,
     replica,
+    request,
     wire,
 )
 
@@ -92,6 +93,7 @@
         self.lag = lag.Lag()
         self.peer_lags: tuple[lag.LagReport, ...] = ()
         self.grace_until: float | None = None
+        self.rate_limit = request.RateLimit()
 
     @property
     def identity(self) -> str:
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -10,6 +10,7 @@
     directory,
     endpoint_link,
     errors,
+    event_log,
     health,
     job,
     request,
@@ -135,13 +136,18 @@
 
     :param pool: connections to endpoints.
     :param codec: encodes requests.
+    :param log: gets a line when an endpoint names another rate limit.
     """
 
     def __init__(
-        self, pool: endpoint_link.LinkPool, codec: wire.HeaderCodec
+        self,
+        pool: endpoint_link.LinkPool,
+        codec: wire.HeaderCodec,
+        log: event_log.EventLog,
     ) -> None:
         self._pool = pool
         self._codec = codec
+        self._log = log
 
     @contextlib.asynccontextmanager
     async def open(
@@ -177,6 +183,7 @@
                 task, link, head_timeout_seconds, may_fail_over
             )
             member.pending.remove(ticket)
+            self._record_rate_limit(member, head)
             yield Exchange(member, model, link, head)
         finally:
             member.in_flight -= 1
@@ -184,6 +191,19 @@
             if link is not None:
                 self._pool.release(link)
 
+    def _record_rate_limit(
+        self, member: directory.Member, head: request.AnswerHead
+    ) -> None:
+        if head.rate_limit == member.rate_limit:
+            return
+        member.rate_limit = head.rate_limit
+        self._log.write(
+            "endpoint_limit",
+            endpoint=member.identity,
+            per_second=head.rate_limit.per_second,
+            is_malformed=head.rate_limit.is_malformed,
+        )
+
     async def _connect(
         self, task: job.Job, member: directory.Member
     ) -> endpoint_link.EndpointLink:
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -312,6 +312,7 @@
             queue_ms=round(member.queue_ms),
             usual_ms=round(member.health.duration_ms, 1),
             bad_share=round(member.health.bad_share, 2),
+            limit=member.rate_limit.per_second,
             expected_ms=round(expected_ms)
             if expected_ms is not None
             else None,
--- a/packages/wagtailstream-router/wagtailstream_router/request.py
+++ b/packages/wagtailstream-router/wagtailstream_router/request.py
@@ -92,6 +92,19 @@
     last_event: str | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimit:
+    """The limit that an endpoint names in an answer.
+
+    :param per_second: the requests a second that it takes from all instances
+        together; None if it names none.
+    :param is_malformed: whether it names one that is no rate.
+    """
+
+    per_second: float | None = None
+    is_malformed: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """The head of an endpoint's answer, decoded from HTTP.
@@ -106,6 +119,7 @@
     :param idle_seconds: how long the endpoint keeps an idle connection; None
         if the endpoint sent none.
     :param is_encoded: whether the body has a content encoding.
+    :param rate_limit: the limit that the endpoint names.
     """
 
     status: int
@@ -116,6 +130,7 @@
     confidence: float | None
     idle_seconds: float | None
     is_encoded: bool
+    rate_limit: RateLimit = RateLimit()
 
     @property
     def is_success(self) -> bool:
