Keep all instances together within the rate that an endpoint names

Cause: nothing read the limit. Endpoints were chosen by queue, lag and prompts, first and second attempts alike. The class: a back end's word on its own capacity that has no way into admission.

Each instance keeps a token bucket for its part of the rate. A few instances share it, by rendezvous hashing: the rate rounded up, and one more. So at most that many requests come at once above the rate, which is within the users' bound for each rate and size of fleet. Instances tell each other the limits that were named to themselves. An endpoint without a token is left out of the choice; if there is no other, the request is refused at once with the time to come back.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -225,7 +225,9 @@
             self._log,
             self._counters,
         )
-        sender = exchange.Sender(self._pool, headers, self._log)
+        sender = exchange.Sender(
+            self._pool, headers, self._log, self._counters
+        )
         plain = forward_plain.PlainForwarder(
             self._members,
             sender,
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -6,12 +6,12 @@
 
 from wagtailstream_router import (
     endpoint,
+    endpoint_limit,
     event_log,
     health,
     lag,
     peer_report,
     replica,
-    request,
     wire,
 )
 
@@ -81,9 +81,14 @@
     """An endpoint with its load and health as this process sees them.
 
     :param entry: the endpoint's newest entry in the store.
+    :param senders: the instances that share a limit that it names.
     """
 
-    def __init__(self, entry: endpoint.Endpoint) -> None:
+    def __init__(
+        self,
+        entry: endpoint.Endpoint,
+        senders: endpoint_limit.Senders | None = None,
+    ) -> None:
         self.entry = entry
         self.health = health.Health()
         self.in_flight = 0
@@ -93,7 +98,9 @@
         self.lag = lag.Lag()
         self.peer_lags: tuple[lag.LagReport, ...] = ()
         self.grace_until: float | None = None
-        self.rate_limit = request.RateLimit()
+        self.limit = endpoint_limit.EndpointLimit(
+            entry.identity, senders or endpoint_limit.Senders()
+        )
 
     @property
     def identity(self) -> str:
@@ -126,6 +133,13 @@
         return self.known_queue_ms + self.lag_ms
 
 
+def list_within_limit(
+    members: collections.abc.Iterable[Member],
+) -> list[Member]:
+    """Return the members that this instance may send a request to now."""
+    return [member for member in members if not member.limit.wait_seconds]
+
+
 class Directory:
     """Keeps the members in sync with the entries in the store.
 
@@ -148,6 +162,7 @@
         self._values: dict[str, bytes] = {}
         self._changed_end = 0
         self._seen_era = 0
+        self._senders = endpoint_limit.Senders()
         self._last_writes: dict[str, _Write] = {}
 
     @property
@@ -193,6 +208,27 @@
         present = [member for member in ready if not member.is_lapsed]
         return present or ready
 
+    def set_senders(self, senders: endpoint_limit.Senders) -> None:
+        """Replace the instances that share the limits of endpoints."""
+        if senders == self._senders:
+            return
+        self._senders = senders
+        for member in self._members.values():
+            member.limit.set_senders(senders)
+
+    def merge_peer_limits(
+        self,
+        observations: collections.abc.Mapping[str, endpoint_limit.Observation],
+    ) -> None:
+        """Merge the limits that endpoints named to a peer.
+
+        :param observations: the peer's newest observation by endpoint.
+        """
+        for identity, observation in observations.items():
+            member = self._members.get(identity)
+            if member is not None:
+                member.limit.merge_peer(observation)
+
     def set_peer_loads(
         self,
         loads: collections.abc.Sequence[dict[str, peer_report.EndpointLoad]],
@@ -250,7 +286,7 @@
             return
         self._record_write(entry)
         if current is None or current.entry.born_ms != entry.born_ms:
-            self._members[identity] = Member(entry)
+            self._members[identity] = Member(entry, self._senders)
             self._changed_end = self._source.end.offset
             self._log.write(
                 "endpoint_joined",
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -13,6 +13,7 @@
     event_log,
     health,
     job,
+    metrics,
     request,
     wire,
 )
@@ -137,6 +138,7 @@
     :param pool: connections to endpoints.
     :param codec: encodes requests.
     :param log: gets a line when an endpoint names another rate limit.
+    :param counters: count the limits that can't be read.
     """
 
     def __init__(
@@ -144,10 +146,12 @@
         pool: endpoint_link.LinkPool,
         codec: wire.HeaderCodec,
         log: event_log.EventLog,
+        counters: metrics.Metrics,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._log = log
+        self._counters = counters
 
     @contextlib.asynccontextmanager
     async def open(
@@ -194,15 +198,26 @@
     def _record_rate_limit(
         self, member: directory.Member, head: request.AnswerHead
     ) -> None:
-        if head.rate_limit == member.rate_limit:
+        """Record the limit that an answer names, or that it names none.
+
+        An answer that states that nothing ran may come from another endpoint
+        at the address, or from something before it: it ends no limit.
+        """
+        limit = head.rate_limit
+        if limit.is_malformed:
+            self._counters.count(metrics.Counter.RATE_LIMITS_IGNORED)
+            self._log.write_routine(
+                "endpoint_limit_ignored", endpoint=member.identity
+            )
             return
-        member.rate_limit = head.rate_limit
-        self._log.write(
-            "endpoint_limit",
-            endpoint=member.identity,
-            per_second=head.rate_limit.per_second,
-            is_malformed=head.rate_limit.is_malformed,
-        )
+        if head.is_not_run and limit.per_second is None:
+            return
+        if member.limit.observe(limit.per_second):
+            self._log.write(
+                "endpoint_limit",
+                endpoint=member.identity,
+                per_second=limit.per_second,
+            )
 
     async def _connect(
         self, task: job.Job, member: directory.Member
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -94,7 +94,7 @@
                 return
             member = self._choose(task)
             if member is None:
-                self._responder.answer_unserved(task, reason)
+                self._answer_without_endpoint(task, reason)
                 return
             try:
                 if await self._attempt(task, member):
@@ -108,7 +108,24 @@
                 self._responder.answer_unserved(task, reason)
                 return
 
+    def _answer_without_endpoint(
+        self, task: job.Job, reason: metrics.Counter
+    ) -> None:
+        limited = self._list_untried(task)
+        if limited:
+            self._responder.answer_limited(task, limited)
+        else:
+            self._responder.answer_unserved(task, reason)
+
     def _choose(self, task: job.Job) -> directory.Member | None:
+        return placement.choose_plain(
+            directory.list_within_limit(self._list_untried(task)),
+            self._zone,
+            self._random,
+        )
+
+    def _list_untried(self, task: job.Job) -> list[directory.Member]:
+        """Return the endpoints of its version that a request may go to."""
         ready = self._members.list_ready(task.service)
         if task.sent == 0:
             allowed = self._versions.filter(task, ready)
@@ -116,10 +133,9 @@
             # A version on trial gets no repeats: if the settled one answers,
             # the failure is evidence.
             allowed = self._versions.list_settled(task.service, ready)
-        untried = [
+        return [
             member for member in allowed if member.identity not in task.tried
         ]
-        return placement.choose_plain(untried, self._zone, self._random)
 
     def _watch_answer(
         self, task: job.Job, member: directory.Member
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections.abc
 import functools
 import time
 
@@ -127,7 +128,7 @@
                 return
             chosen = self._choose(self._model)
             if chosen is None:
-                self._owner._responder.answer_unserved(task, self._reason)
+                self._answer_without_endpoint()
                 return
             member = chosen.member
             try:
@@ -172,7 +173,30 @@
             else:
                 self._watch.record_silence()
 
+    def _answer_without_endpoint(self) -> None:
+        responder = self._owner._responder
+        limited = self._list_candidates()
+        if limited:
+            responder.answer_limited(self._task, limited)
+        else:
+            responder.answer_unserved(self._task, self._reason)
+
     def _choose(self, model: str) -> placement.Estimate | None:
+        return placement.choose_engine(
+            directory.list_within_limit(self._list_candidates()),
+            self._task.route,
+            model,
+            self._task.call,
+            self._owner._warm,
+        )
+
+    def _list_candidates(
+        self,
+    ) -> collections.abc.Sequence[directory.Member]:
+        """Return the servers of its version that a request may go to.
+
+        These are the ones it was not sent to yet, if there are any.
+        """
         task = self._task
         ready = self._owner._versions.filter(
             task, self._owner._members.list_ready(task.service)
@@ -180,9 +204,7 @@
         untried = [
             member for member in ready if member.identity not in task.tried
         ]
-        return placement.choose_engine(
-            untried or ready, task.route, model, task.call, self._owner._warm
-        )
+        return untried or ready
 
     def _head_timeout_seconds(self, chosen: placement.Estimate) -> float:
         task = self._task
@@ -216,7 +238,11 @@
     def _is_repeatable_elsewhere(self) -> bool:
         task = self._task
         ready = self._owner._members.list_ready(task.service)
-        return task.route.may_repeat and len(ready) > 1
+        return (
+            task.route.may_repeat
+            and len(ready) > 1
+            and bool(directory.list_within_limit(self._list_candidates()))
+        )
 
     async def _attempt(self, chosen: placement.Estimate) -> bool:
         """Send the request to an endpoint and relay the answer.
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -21,6 +21,9 @@
 # The Retry-After of a 503: an endpoint that is full for a moment has free
 # slots again after a few answers.
 RETRY_AFTER_SECONDS = 0.25
+# The longest Retry-After: another instance, or an endpoint whose limit has
+# ended, may take the request sooner than this one's part of a limit allows.
+MAX_RETRY_AFTER_SECONDS = 1.0
 
 # Returns whether the endpoint at an address accepts connections.
 ReachesEndpoint = collections.abc.Callable[
@@ -60,6 +63,7 @@
         identity: str,
         status: int,
         reason: metrics.Counter,
+        retry_after_seconds: float = RETRY_AFTER_SECONDS,
         **inputs: object,
     ) -> None:
         """Answer with an error; a 503 carries a Retry-After.
@@ -68,6 +72,7 @@
 
         :param status: the HTTP status; 503 only if the request has not run.
         :param reason: the counter of the reason.
+        :param retry_after_seconds: when the caller may come back.
         :param inputs: the values behind the decision, for the log.
         """
         if caller.is_started:
@@ -85,17 +90,42 @@
         if caller.is_started:
             caller.abort()
             return
-        retry_after_seconds = RETRY_AFTER_SECONDS if status == 503 else None
-        headers = self._codec.encode_refusal(identity, retry_after_seconds)
+        headers = self._codec.encode_refusal(
+            identity, retry_after_seconds if status == 503 else None
+        )
         caller.send(status, headers, reason.value.encode() + b"\n")
 
-    def answer_unserved(self, task: job.Job, reason: metrics.Counter) -> None:
+    def answer_limited(
+        self,
+        task: job.Job,
+        members: collections.abc.Iterable[directory.Member],
+    ) -> None:
+        """Answer a request that only endpoints at their limit could run.
+
+        :param members: these endpoints.
+        """
+        wait_seconds = min(member.limit.wait_seconds for member in members)
+        self.answer_unserved(
+            task,
+            metrics.Counter.REFUSED_LIMITED,
+            min(
+                max(wait_seconds, RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS
+            ),
+        )
+
+    def answer_unserved(
+        self,
+        task: job.Job,
+        reason: metrics.Counter,
+        retry_after_seconds: float = RETRY_AFTER_SECONDS,
+    ) -> None:
         """Answer a request that no endpoint answered.
 
         The status is 503 (not executed) if no endpoint may have run the
         request, else 502 (outcome unknown).
 
         :param reason: the counter of the reason if nothing ran.
+        :param retry_after_seconds: when the caller may come back then.
         """
         status = 502 if task.may_have_run else 503
         self.refuse(
@@ -103,6 +133,7 @@
             task.call.identity,
             status,
             metrics.Counter.FAILED_UNKNOWN if task.may_have_run else reason,
+            retry_after_seconds,
             cause=reason.value,
             sent=task.sent,
             endpoints=sorted(task.tried),
@@ -299,6 +330,7 @@
         if task.sent > 0:
             self._budget_of(task.service).record_extra()
         self._crashes.parts.record_send(task.call)
+        member.limit.record_send()
         self._log.write_routine(
             "sent",
             request=task.call.identity,
@@ -312,7 +344,7 @@
             queue_ms=round(member.queue_ms),
             usual_ms=round(member.health.duration_ms, 1),
             bad_share=round(member.health.bad_share, 2),
-            limit=member.rate_limit.per_second,
+            limit=member.limit.per_second,
             expected_ms=round(expected_ms)
             if expected_ms is not None
             else None,
--- a/packages/wagtailstream-router/wagtailstream_router/metrics.py
+++ b/packages/wagtailstream-router/wagtailstream_router/metrics.py
@@ -18,6 +18,7 @@
     REFUSED_LONG_HEAD = "refused_long_head"
     REFUSED_NO_ENDPOINT = "refused_no_endpoint"
     REFUSED_BY_ENDPOINT = "refused_by_endpoint"
+    REFUSED_LIMITED = "refused_limited"
     REFUSED_DEADLINE = "refused_deadline"
     REFUSED_DRAINING = "refused_draining"
     REFUSED_CRASHING = "refused_crashing"
@@ -41,6 +42,7 @@
     CONNECTIONS_OPENED = "connections_opened"
     ENDPOINTS_PAUSED = "endpoints_paused"
     ENDPOINTS_CRASHED = "endpoints_crashed"
+    RATE_LIMITS_IGNORED = "rate_limits_ignored"
     LOG_LINES_DROPPED = "log_lines_dropped"
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -11,7 +11,7 @@
 
 # The first field of a message. Raise it with each change of the fields:
 # messages of instances of another release are ignored, not misread.
-MESSAGE_FORMAT = 5
+MESSAGE_FORMAT = 6
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -82,6 +82,18 @@
     age_seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitReport:
+    """The limit that an endpoint named to an instance.
+
+    :param per_second: the rate for all instances; None if it names none now.
+    :param age_seconds: the time since the answer that named it.
+    """
+
+    per_second: float | None
+    age_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerReport:
     """One instance's state, as sent to its peers.
@@ -101,6 +113,7 @@
     :param copies: its copies of the store's topics.
     :param crashes: the crashes that it observed.
     :param parts: the prompt parts that it suspects or knows to be sound.
+    :param limits: the limits that endpoints named to it, by endpoint.
     """
 
     name: str
@@ -116,6 +129,7 @@
     copies: tuple[CopyReport, ...]
     crashes: tuple[CrashReport, ...] = ()
     parts: part_board.PartsReport = part_board.PartsReport()
+    limits: dict[str, LimitReport] = dataclasses.field(default_factory=dict)
 
 
 def encode(report: PeerReport) -> bytes:
@@ -164,6 +178,10 @@
                 for suspicion in report.parts.suspicions
             ],
             report.parts.sound,
+            {
+                identity: [limit.per_second, round(limit.age_seconds, 3)]
+                for identity, limit in report.limits.items()
+            },
         ]
     )
     return zlib.compress(rows, COMPRESSION_LEVEL)
@@ -248,6 +266,7 @@
             crashes,
             suspicions,
             sound,
+            limits,
         ) = orjson.loads(_decompress(data))
         if message_format != MESSAGE_FORMAT:
             raise ValueError(f"message of format {message_format!r}")
@@ -304,11 +323,27 @@
                 ),
                 tuple(map(str, sound)),
             ),
+            {
+                str(identity): _decode_limit(per_second, age)
+                for identity, (per_second, age) in limits.items()
+            },
         )
     except (TypeError, AttributeError, KeyError) as error:
         raise ValueError(f"not a peer message: {error!r}") from error
 
 
+def _decode_limit(per_second: typing.Any, age: typing.Any) -> LimitReport:
+    """Return a limit.
+
+    :raises ValueError: the rate or the age is no number, or negative.
+    """
+    rate = None if per_second is None else float(per_second)
+    age_seconds = float(age)
+    if age_seconds < 0.0 or (rate is not None and rate < 0.0):
+        raise ValueError(f"limit of {rate} a second, {age_seconds} s old")
+    return LimitReport(rate, age_seconds)
+
+
 def _decode_rollout(row: list[typing.Any]) -> RolloutReport:
     (
         service,
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -7,6 +7,7 @@
 from wagtailstream_router import (
     crash_board,
     directory,
+    endpoint_limit,
     follower,
     gossip,
     node,
@@ -16,6 +17,10 @@
     warm_prompts,
 )
 
+# How long the end of a limit is told to peers: several rounds of messages,
+# also where instances take turns.
+REPORT_ENDED_LIMIT_SECONDS = 3.0
+
 
 @dataclasses.dataclass(frozen=True)
 class SharedState:
@@ -79,6 +84,7 @@
             self._list_copies(),
             self._list_crashes(),
             state.crashes.parts.make_report(),
+            self._list_limits(),
         )
 
     def _list_loads(self) -> dict[str, peer_report.EndpointLoad]:
@@ -96,6 +102,20 @@
             if load.in_flight or load.lag_report.weight
         }
 
+    def _list_limits(self) -> dict[str, peer_report.LimitReport]:
+        """Return the limits that endpoints name, or have ceased to name."""
+        now = time.monotonic()
+        observations = {
+            member.identity: member.limit.own
+            for member in self._state.members.members.values()
+        }
+        return {
+            identity: peer_report.LimitReport(own.per_second, now - own.at)
+            for identity, own in observations.items()
+            if own.per_second is not None
+            or now - own.at < REPORT_ENDED_LIMIT_SECONDS
+        }
+
     def _list_copies(self) -> tuple[peer_report.CopyReport, ...]:
         operator = self._state.operator
         entries = self._state.entries
@@ -129,8 +149,19 @@
         :param report: the message; None when a peer fell silent.
         """
         state = self._state
-        state.members.set_peer_loads(
-            [peer.report.loads for peer in self._list_alive()]
+        alive = self._list_alive()
+        state.members.set_peer_loads([peer.report.loads for peer in alive])
+        state.members.set_senders(
+            endpoint_limit.Senders(
+                state.rollouts.start.name,
+                tuple(
+                    sorted(
+                        peer.report.name
+                        for peer in alive
+                        if not peer.report.is_draining
+                    )
+                ),
+            )
         )
         if report is None:
             return
@@ -140,6 +171,14 @@
             state.rollouts.handle_report(peer, rollout_)
         state.crashes.parts.merge_report(report.parts)
         now = time.monotonic()
+        state.members.merge_peer_limits(
+            {
+                identity: endpoint_limit.Observation(
+                    limit.per_second, now - limit.age_seconds
+                )
+                for identity, limit in report.limits.items()
+            }
+        )
         state.crashes.set_peer_crashes(
             report.name,
             [
