Treat the last entries of an endpoint that left as remnants

After a restore of the store, an instance that had not read an endpoint's last heartbeats took an older entry of it, from the copy that the store came back from, for a newer write: an endpoint that had left would get requests again.

Cause: one instance reads the heartbeats that change nothing, the others skip them, so the number of the last write that they know is too low.

Once an entry was removed, no entry of that start counts until the era has settled. test_an_old_entry_with_heartbeats_that_were_not_read_is_a_remnant failed before.

--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import time
 
 from wagtailstream_router import (
@@ -19,8 +20,6 @@
 # directory this long: running ones renew their entry by then, as the users
 # state.
 LAPSE_GRACE_SECONDS = 2.0
-
-
 # How long the last write of an endpoint's entry is remembered; longer than the
 # time by which a restored store may be behind, some seconds in the users'
 # specification.
@@ -32,11 +31,12 @@
     """The last write of an endpoint's entry.
 
     :param order: the endpoint's start and the number of the write since; a
-        later write is greater.
+        later write is greater. The number is infinite once the entry was
+        removed: most heartbeats before are not read.
     :param at: when it was read, by the monotonic clock.
     """
 
-    order: tuple[int, int]
+    order: tuple[int, float]
     at: float
 
 
@@ -284,7 +284,8 @@
                 "entry_outdated", endpoint=identity, sequence=entry.sequence
             )
             return
-        self._record_write(entry)
+        if entry.sequence is not None:
+            self._record_write(identity, (entry.born_ms, entry.sequence))
         if current is None or current.entry.born_ms != entry.born_ms:
             self._members[identity] = Member(entry, self._senders)
             self._changed_end = self._source.end.offset
@@ -311,8 +312,7 @@
         """Return whether an entry is a remnant in a restored store.
 
         The copy that the store came back from may hold entries from before
-        what is believed. Of an endpoint that has left, the last entry seen is
-        a remnant too.
+        what is believed, and entries of endpoints that have left.
         """
         last = self._last_writes.get(entry.identity)
         if (
@@ -324,14 +324,10 @@
         write = (entry.born_ms, entry.sequence)
         return write < last.order or (current is None and write == last.order)
 
-    def _record_write(self, entry: endpoint.Endpoint) -> None:
-        if entry.sequence is None:
-            return
+    def _record_write(self, identity: str, order: tuple[int, float]) -> None:
         now = time.monotonic()
-        self._last_writes.pop(entry.identity, None)
-        self._last_writes[entry.identity] = _Write(
-            (entry.born_ms, entry.sequence), now
-        )
+        self._last_writes.pop(identity, None)
+        self._last_writes[identity] = _Write(order, now)
         # The oldest come first.
         for identity, write in list(self._last_writes.items()):
             if now - write.at < KEEP_WRITES_SECONDS:
@@ -354,6 +350,7 @@
                 "endpoint_lapsed", endpoint=identity, offset=self._seen_change
             )
             return
+        self._record_write(identity, (member.entry.born_ms, math.inf))
         self._remove(identity, "entry removed")
 
     def _remove_expired(self) -> None:
--- a/tests/router/test_store_era.py
+++ b/tests/router/test_store_era.py
@@ -268,6 +268,23 @@
     assert drill.instance.list_ready() == ["ready"]
 
 
+async def test_an_old_entry_with_heartbeats_that_were_not_read_is_a_remnant(
+    drill: Drill,
+) -> None:
+    """Heartbeats that change nothing are read by one instance only."""
+    drill.write_endpoint("left", 1)
+    drill.write_endpoint("ready", 1)
+    await drill.instance.read()
+    drill.write_endpoint("left", 8)
+    end = drill.server.topic(ENDPOINTS).end
+    drill.instance.entries.copy.skip_to(store.Position(0, end), 0.0)
+    drill.remove_endpoint("left")
+    await drill.instance.read()
+    drill.server.restore({ENDPOINTS: end})
+    await drill.instance.read()
+    assert drill.instance.list_ready() == ["ready"]
+
+
 async def test_an_endpoint_written_again_as_it_was_is_not_dropped(
     drill: Drill,
 ) -> None:
@@ -358,6 +375,9 @@
     drill.server.restore({OPERATOR: 1})
     await drill.instance.read()
     assert drill.instance.rollouts.progress["engine"] is progress
+    drill.server.put(OPERATOR, "other", b"1")
+    await drill.instance.read()
+    assert drill.instance.rollouts.progress["engine"] is progress
     drill.write_order("v4")
     await drill.instance.read()
     assert drill.instance.rollouts.progress["engine"].order.target == "v4"
