Draw restores of the store in the soak, and check the configuration

The soak did not draw a store that comes back from an older copy, and checked no process's configuration. It now restores each topic up to four records back, while the other faults go on; the operator and the endpoints write again within a second. At the end each process must have gone through rising versions in each start, and hold the newest.

The stand-in restores compacted topics, and numbers the writes of entries.

--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -34,6 +34,7 @@
 
     :param first: offset of the earliest record that is kept.
     :param newest: offset and value of each key's last record.
+    :param compacted: the same, for the records that are no longer kept.
     """
 
     first: int = 0
@@ -41,6 +42,9 @@
     newest: dict[str, tuple[int, bytes]] = dataclasses.field(
         default_factory=dict
     )
+    compacted: dict[str, tuple[int, bytes]] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def end(self) -> int:
@@ -55,6 +59,19 @@
             self.newest.pop(key, None)
         self.records.append((key, value))
 
+    def compact(self) -> None:
+        """Drop the records; the last one of each key is kept."""
+        self.first = self.end
+        self.records = []
+        self.compacted = dict(self.newest)
+
+    def copy_until(self, end: int) -> "Topic":
+        """Return a copy with the records before an offset that are kept."""
+        copy = Topic(self.first, [], dict(self.compacted), self.compacted)
+        for key, value in self.records[: max(0, end - self.first)]:
+            copy.append(key, value)
+        return copy
+
 
 class PlatformStore:
     """Keeps topics in memory and serves them on loopback.
@@ -88,9 +105,7 @@
 
     def compact(self, name: str) -> None:
         """Drop a topic's log; the newest record of each key is kept."""
-        topic = self.topic(name)
-        topic.first = topic.end
-        topic.records = []
+        self.topic(name).compact()
 
     def restore(self, ends: dict[str, int]) -> None:
         """Come back from an older copy: drop what was appended after it.
@@ -99,10 +114,10 @@
             named are lost.
         """
         self.era += 1
-        before, self.topics = self.topics, {}
-        for name, end in ends.items():
-            for key, value in before[name].records[:end]:
-                self.topic(name).append(key, value)
+        self.topics = {
+            name: self.topics[name].copy_until(end)
+            for name, end in ends.items()
+        }
         self.changed.set()
         self.changed = asyncio.Event()
 
--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -73,6 +73,7 @@
             for address in self.addresses
         ]
         self.store_route = proxy.Route("")
+        self._sequence = 0
 
     @property
     def log_paths(self) -> list[str]:
@@ -155,6 +156,7 @@
         self, proxied: ProxiedEndpoint, state: str
     ) -> None:
         """Write an endpoint's record to the endpoints topic."""
+        self._sequence += 1
         record = {
             "service": proxied.service,
             "address": f"127.0.0.1:{proxied.route.port}",
@@ -162,6 +164,7 @@
             "version": proxied.version,
             "slots": 8,
             "state": state,
+            "sequence": self._sequence,
             "born": 1,
         }
         identity = proxied.endpoint.identity
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -21,6 +21,7 @@
 import typing
 
 import click
+import orjson
 
 from standins import (
     platform_caller,
@@ -87,6 +88,9 @@
         self._fleet = router_fleet.RouterFleet(directory, ROUTERS)
         self._refused: set[str] = set()
         self._unsafe: set[str] = set()
+        # What the operator and the endpoints wrote last.
+        self._version = 1
+        self._states: dict[str, str] = {}
         self._sent = 0
         self._is_recovering = False
         self._is_finished = False
@@ -108,6 +112,7 @@
             await self._fleet.stop()
         self._check_runs()
         self._check_recovery()
+        self._check_configurations()
         return self.outcome
 
     async def _start(self) -> None:
@@ -130,6 +135,7 @@
             self._drain_endpoint,
             self._change_configuration,
             self._compact,
+            self._restore_store,
             self._fail_link,
             self._fail_link,
         ]
@@ -139,6 +145,7 @@
             running.add(asyncio.ensure_future(action()))
             await asyncio.sleep(self._random.uniform(0.1, 0.6))
         await asyncio.gather(*running)
+        self._change_version()
         self._fleet.store.fault = platform_store.Fault.NONE
         await self._fleet.wait_all_ready()
 
@@ -194,13 +201,35 @@
 
     async def _drain_endpoint(self) -> None:
         proxied = self._random.choice(self._fleet.endpoints)
-        self._fleet.put_endpoint_record(proxied, "draining")
+        self._write_state(proxied, "draining")
         await asyncio.sleep(self._random.uniform(0.5, 2.0))
-        self._fleet.put_endpoint_record(proxied, "ready")
+        self._write_state(proxied, "ready")
+
+    def _write_state(
+        self, proxied: router_fleet.ProxiedEndpoint, state: str
+    ) -> None:
+        self._states[proxied.endpoint.identity] = state
+        self._fleet.put_endpoint_record(proxied, state)
 
     async def _change_configuration(self) -> None:
-        topic = self._fleet.store.topic(names.OPERATOR_TOPIC)
-        self._fleet.put_configuration(topic.end + 1)
+        self._change_version()
+
+    def _change_version(self) -> None:
+        self._version += 1
+        self._fleet.put_configuration(self._version)
+
+    async def _restore_store(self) -> None:
+        """Restore the store from an older copy; its writers write again."""
+        ends = {
+            name: topic.end - self._random.randint(0, 4)
+            for name, topic in self._fleet.store.topics.items()
+        }
+        self._fleet.store.restore(ends)
+        await asyncio.sleep(self._random.uniform(0.0, 1.0))
+        self._fleet.put_configuration(self._version)
+        for proxied in self._fleet.endpoints:
+            state = self._states.get(proxied.endpoint.identity, "ready")
+            self._fleet.put_endpoint_record(proxied, state)
 
     async def _compact(self) -> None:
         self._fleet.store.compact(names.ENDPOINTS_TOPIC)
@@ -278,10 +307,41 @@
                 f"fault, expected at least {RECOVERED_SHARE}"
             )
 
+    def _check_configurations(self) -> None:
+        """Check that no process moved back, and all ended on the newest."""
+        for path in self._fleet.log_paths:
+            version = 0
+            for line in pathlib.Path(path).read_bytes().splitlines():
+                fields = _parse_line(line)
+                if fields.get("message") == "started":
+                    version = 0
+                if fields.get("message") != "configuration":
+                    continue
+                if fields["version"] <= version:
+                    self._report_violation(
+                        f"{path}: version {fields['version']} of the"
+                        f" configuration after {version}"
+                    )
+                version = fields["version"]
+            if version != self._version:
+                self._report_violation(
+                    f"{path}: ended on version {version} of the"
+                    f" configuration, not {self._version}"
+                )
+
     def _report_violation(self, line: str) -> None:
         self.outcome.violations.append(line)
 
 
+def _parse_line(line: bytes) -> dict[str, typing.Any]:
+    """Return a line of a router's log; {} for the end of a killed one."""
+    try:
+        fields = orjson.loads(line)
+    except ValueError:
+        return {}
+    return fields if isinstance(fields, dict) else {}
+
+
 def run_seed(seed: int, seconds: float, directory: pathlib.Path) -> Outcome:
     """Run the soak test with one seed.
 
