--- a/packages/wagtailstream-router/wagtailstream_router/replica.py
+++ b/packages/wagtailstream-router/wagtailstream_router/replica.py
@@ -1,5 +1,6 @@
 """A replica of a keyed topic, read from the store or from a peer."""
 
+import dataclasses
 import time
 
 from wagtailstream_router import store
@@ -93,8 +94,24 @@
         :param page: the newest record of each key.
         :param at: when the read began, by the monotonic clock.
         """
-        if page.end >= self._end:
-            self.reload(page, at)
+        if page.end < self._end:
+            return
+        if page.era == self._end.era:
+            page = self._add_newer_records(page)
+        self.reload(page, at)
+
+    def _add_newer_records(self, page: store.Page) -> store.Page:
+        """Return a page with the records that were appended after it.
+
+        A read of several pages ends before the last record that it returns.
+        """
+        keys = {record.key for record in page.records}
+        newer = tuple(
+            record
+            for record in self._records.values()
+            if record.offset >= page.next_offset and record.key not in keys
+        )
+        return dataclasses.replace(page, records=page.records + newer)
 
     def reload(self, page: store.Page, at: float) -> None:
         """Replace all records by those in the store.
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -151,3 +151,15 @@
     with pytest.raises(errors.StoreError):
         await unknown.read_newest()
     pool.close()
+
+
+def test_a_peers_copy_does_not_drop_records_that_were_appended_after_it() -> (
+    None
+):
+    copy = replica.Replica()
+    records = (store.Record("a", b"1", 0), store.Record("b", b"1", 4))
+    copy.reset(store.Page(records, 4), time.monotonic())
+    copy.reset(store.Page(records[:1], 4), time.monotonic())
+    assert set(copy.records) == {"a", "b"}
+    copy.reset(store.Page(records[:1], 2, era=1), time.monotonic())
+    assert set(copy.records) == {"a"}
