Name the times of routes for what they hold, and split a check from its effect

late_routes held times as well as late answers: it is route_times now. Rollouts asked whether an order was known and moved it in the same function; the two are apart. Both forwarders answered alike where no endpoint could be chosen; that is in ErrorResponder.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -13,12 +13,12 @@
     forwarding,
     health,
     job,
-    late_routes,
     metrics,
     placement,
     request,
     rollout,
     rollout_state,
+    route_times,
 )
 
 # The timeout for the head of an answer, and then for its body, after which a
@@ -60,7 +60,7 @@
         self._counters = counters
         self._zone = zone
         self._random = random.Random()
-        self._late_routes = late_routes.LateRoutes()
+        self._route_times = route_times.RouteTimes()
 
     async def forward(self, task: job.Job) -> None:
         """Answer a request, at the latest at its deadline."""
@@ -94,7 +94,9 @@
                 return
             member = self._choose(task)
             if member is None:
-                self._answer_without_endpoint(task, reason)
+                self._responder.answer_without_endpoint(
+                    task, self._list_untried(task), reason
+                )
                 return
             try:
                 if await self._attempt(task, member):
@@ -108,15 +110,6 @@
                 self._responder.answer_unserved(task, reason)
                 return
 
-    def _answer_without_endpoint(
-        self, task: job.Job, reason: metrics.Counter
-    ) -> None:
-        limited = self._list_untried(task)
-        if limited:
-            self._responder.answer_limited(task, limited)
-        else:
-            self._responder.answer_unserved(task, reason)
-
     def _choose(self, task: job.Job) -> directory.Member | None:
         return placement.choose_plain(
             directory.list_within_limit(self._list_untried(task)),
@@ -138,18 +131,13 @@
         ]
 
     def _watch_answer(
-        self, task: job.Job, member: directory.Member
+        self, task: job.Job, member: directory.Member, is_settled: bool
     ) -> answer_watch.AnswerWatch:
         """Return a watch on the time that an attempt's answer takes."""
-        limit_ms = self._late_routes.limit_ms(task.route.name)
+        limit_ms = self._route_times.limit_ms(task.route.name)
         return answer_watch.AnswerWatch(
             task.route.target_ms if limit_ms is None else limit_ms,
-            functools.partial(
-                self._record_lateness,
-                task,
-                member,
-                self._is_settled(task, member),
-            ),
+            functools.partial(self._record_lateness, task, member, is_settled),
         )
 
     def _is_settled(self, task: job.Job, member: directory.Member) -> bool:
@@ -165,8 +153,8 @@
         sample: rollout_state.Sample,
     ) -> None:
         if is_settled:
-            self._late_routes.record(task.route.name, sample.is_slow)
-        if self._late_routes.is_usually_late(task.route.name):
+            self._route_times.record(task.route.name, sample.is_slow)
+        if self._route_times.is_usually_late(task.route.name):
             sample = rollout_state.Sample()
         self._versions.record_answer(task, member, sample)
 
@@ -202,9 +190,10 @@
         :raises exchange.AttemptError: there is no answer to pass on.
         """
         self._retry_policy.record_send(task, member)
-        watch = self._watch_answer(task, member)
+        is_settled = self._is_settled(task, member)
+        watch = self._watch_answer(task, member, is_settled)
         try:
-            return await self._send(task, member, watch)
+            return await self._send(task, member, is_settled, watch)
         except exchange.AttemptError as error:
             if error.fault is health.Fault.SILENT:
                 watch.record_silence()
@@ -216,10 +205,12 @@
         self,
         task: job.Job,
         member: directory.Member,
+        is_settled: bool,
         watch: answer_watch.AnswerWatch,
     ) -> bool:
         """Send the request and pass its answer on, as `_attempt` says.
 
+        :param is_settled: whether the endpoint's version is not on trial.
         :raises exchange.AttemptError: there is no answer to pass on.
         """
         began = time.monotonic()
@@ -240,8 +231,8 @@
             watch.record_arrival()
             duration_ms = (time.monotonic() - began) * 1000.0
             member.health.record_success(duration_ms)
-            if self._is_settled(task, member):
-                self._late_routes.record_duration(task.route.name, duration_ms)
+            if is_settled:
+                self._route_times.record_duration(task.route.name, duration_ms)
             self._retry_policy.record_answer(task, member)
         self._send_answer(task, member, head, body, watch)
         return True
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -128,7 +128,9 @@
                 return
             chosen = self._choose(self._model)
             if chosen is None:
-                self._answer_without_endpoint()
+                self._owner._responder.answer_without_endpoint(
+                    task, self._list_candidates(), self._reason
+                )
                 return
             member = chosen.member
             try:
@@ -173,14 +175,6 @@
             else:
                 self._watch.record_silence()
 
-    def _answer_without_endpoint(self) -> None:
-        responder = self._owner._responder
-        limited = self._list_candidates()
-        if limited:
-            responder.answer_limited(self._task, limited)
-        else:
-            responder.answer_unserved(self._task, self._reason)
-
     def _choose(self, model: str) -> placement.Estimate | None:
         return placement.choose_engine(
             directory.list_within_limit(self._list_candidates()),
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -95,15 +95,20 @@
         )
         caller.send(status, headers, reason.value.encode() + b"\n")
 
-    def answer_limited(
+    def answer_without_endpoint(
         self,
         task: job.Job,
-        members: collections.abc.Iterable[directory.Member],
+        members: collections.abc.Collection[directory.Member],
+        reason: metrics.Counter,
     ) -> None:
-        """Answer a request that only endpoints at their limit could run.
+        """Answer a request for which no endpoint could be chosen.
 
-        :param members: these endpoints.
+        :param members: the endpoints that could run it, all at their limit.
+        :param reason: the counter of the reason if there are none.
         """
+        if not members:
+            self.answer_unserved(task, reason)
+            return
         wait_seconds = min(member.limit.wait_seconds for member in members)
         self.answer_unserved(
             task,
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -99,8 +99,12 @@
         if progress is not None:
             if progress.position >= position:
                 return
-            if self._is_known(progress, order, position):
-                return
+            if self._is_restored(progress, position):
+                if order.target == progress.order.target:
+                    self._move(progress, position)
+                    return
+                if order.target in self._superseded.get(order.service, ()):
+                    return
             self._superseded.setdefault(order.service, set()).add(
                 progress.order.target
             )
@@ -116,35 +120,35 @@
             is_start_witnessed=is_witness,
         )
 
-    def _is_known(
-        self,
-        progress: rollout_progress.Progress,
-        order: rollout_state.Order,
-        position: store.Position,
+    def _is_restored(
+        self, progress: rollout_progress.Progress, position: store.Position
     ) -> bool:
-        """Return whether an order was known before the store was restored.
+        """Return whether an order may be from before a restored store.
 
-        It is the newest order, written again, or an earlier one in the copy
+        It may be the newest one, written again, or an earlier one in the copy
         that the store came back from.
+
+        :param progress: the newest order that is known.
+        :param position: where the order was read.
         """
-        is_restored = (
+        return (
             position.era > progress.position.era or self._operator.is_settling
         )
-        if not is_restored:
-            return False
-        if order.target == progress.order.target:
-            progress.position = position
-            progress.written_stage = None
-            self._log.write(
-                "rollout_order_moved",
-                service=order.service,
-                target=order.target,
-                stage=progress.stage.value,
-                era=position.era,
-                offset=position.offset,
-            )
-            return True
-        return order.target in self._superseded.get(order.service, ())
+
+    def _move(
+        self, progress: rollout_progress.Progress, position: store.Position
+    ) -> None:
+        """Follow an order that was written again at another position."""
+        progress.position = position
+        progress.written_stage = None
+        self._log.write(
+            "rollout_order_moved",
+            service=progress.order.service,
+            target=progress.order.target,
+            stage=progress.stage.value,
+            era=position.era,
+            offset=position.offset,
+        )
 
     def merge_record(self, record: rollout_state.StatusRecord) -> None:
         """Merge a status that an instance wrote to the store.
--- a/packages/wagtailstream-router/wagtailstream_router/route_times.py
+++ b/packages/wagtailstream-router/wagtailstream_router/route_times.py
@@ -26,7 +26,7 @@
     usual_ms: float = 0.0
 
 
-class LateRoutes:
+class RouteTimes:
     """Times and late answers of the settled version by route.
 
     The work of a route may take longer than that of the service's other
--- a/tests/router/test_route_times.py
+++ b/tests/router/test_route_times.py
@@ -2,7 +2,7 @@
 
 import random
 
-from wagtailstream_router import late_routes, rollout_state
+from wagtailstream_router import rollout_state, route_times
 
 # Answers of a plain service in the time of a roll-out, and the new version's
 # share of them before it is completed.
@@ -18,7 +18,7 @@
     Service times vary as widely as those of the users' specification.
     """
     generator = random.Random(seed)
-    routes = late_routes.LateRoutes()
+    routes = route_times.RouteTimes()
     new, old = rollout_state.Evidence(), rollout_state.Evidence()
     for _ in range(ANSWERS):
         route, usual_ms = generator.choice(ROUTES)
@@ -46,7 +46,7 @@
 
 
 def test_a_route_is_late_once_most_answers_are() -> None:
-    routes = late_routes.LateRoutes()
+    routes = route_times.RouteTimes()
     for is_late in (True, True):
         routes.record("long", is_late)
     assert not routes.is_usually_late("long")
@@ -59,12 +59,12 @@
 
 
 def test_a_limit_needs_a_few_answers_of_its_own_route() -> None:
-    routes = late_routes.LateRoutes()
-    for _ in range(late_routes.MIN_ANSWERS):
+    routes = route_times.RouteTimes()
+    for _ in range(route_times.MIN_ANSWERS):
         assert routes.limit_ms("long") is None
         routes.record_duration("long", 300.0)
     assert routes.limit_ms("long") == 600.0
     assert routes.limit_ms("short") is None
-    for _ in range(late_routes.MIN_ANSWERS):
+    for _ in range(route_times.MIN_ANSWERS):
         routes.record_duration("short", 2.0)
     assert routes.limit_ms("short") == 22.0
