--- a/tests/router/test_store_era.py
+++ b/tests/router/test_store_era.py
@@ -133,6 +133,14 @@
         return CODEC.decode_status(page.records[0].value).status
 
 
+def roll_back(instance: Instance) -> None:
+    """Tell an instance that its roll-out was rolled back."""
+    status = instance.rollouts.progress["engine"].status
+    instance.rollouts.merge_status(
+        dataclasses.replace(status, stage=rollout_state.Stage.ROLLED_BACK)
+    )
+
+
 class PeerCopies(follower.PeerCopySource):
     """The copy of a single peer, which replaces the store."""
 
@@ -210,12 +218,7 @@
     drill.write_order("v2")
     await drill.instance.read()
     assert drill.instance.count_exposed("v2") > 0
-    progress = drill.instance.rollouts.progress["engine"]
-    drill.instance.rollouts.merge_status(
-        dataclasses.replace(
-            progress.status, stage=rollout_state.Stage.ROLLED_BACK
-        )
-    )
+    roll_back(drill.instance)
     assert drill.instance.count_exposed("v2") == 0
     drill.server.restore({OPERATOR: 1})
     await drill.instance.read()
@@ -234,12 +237,7 @@
     drill.write_order("v2")
     await drill.instance.read()
     await drill.instance.status_writer.step()
-    progress = drill.instance.rollouts.progress["engine"]
-    drill.instance.rollouts.merge_status(
-        dataclasses.replace(
-            progress.status, stage=rollout_state.Stage.ROLLED_BACK
-        )
-    )
+    roll_back(drill.instance)
     await drill.instance.status_writer.step()
     drill.server.restore({OPERATOR: 1})
     drill.write_order("v2")
@@ -343,13 +341,7 @@
 ) -> None:
     """The instance that decided was killed before the operator wrote again."""
     await start_rollout(drill)
-    first = drill.instance.rollouts
-    first.merge_status(
-        dataclasses.replace(
-            first.progress["engine"].status,
-            stage=rollout_state.Stage.ROLLED_BACK,
-        )
-    )
+    roll_back(drill.instance)
     drill.server.restore({OPERATOR: 1})
     await drill.instance.read()
     await drill.instance.status_writer.step()
@@ -390,12 +382,7 @@
     drill.server.restore({OPERATOR: 1})
     drill.write_order("v2")
     await other.read()
-    other.rollouts.merge_status(
-        dataclasses.replace(
-            other.rollouts.progress["engine"].status,
-            stage=rollout_state.Stage.ROLLED_BACK,
-        )
-    )
+    roll_back(other)
     (report,) = other.rollouts.list_reports()
     drill.instance.rollouts.handle_report(other.rollouts.start, report)
     progress = drill.instance.rollouts.progress["engine"]
