Believe an endpoint that says in its answers that it leaves or is full

What callers would see: requests sent on to an endpoint that had said that it leaves (DRAIN), and to one that had asked for a pause (BUDGET). Endpoints now say both in their answers (Server-Leaving, Retry-After with 503); the router decoded neither and went by the store's entry alone, which is late by an outage of the store.

Change: each head is read for notices, which are kept by the start of the endpoint, beyond its connections and its entry. They are checked where candidates are listed and again after the connection is open. Peers are told of endpoints that leave and prefer others. Requests for which only full endpoints remain wait for the first that is free, by priority, or are refused at once with a spread Retry-After. Both notices are in one commit: they share the reading, the keeping and the checks.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -27,6 +27,7 @@
     listeners,
     metrics,
     node,
+    notice_recorder,
     page_server,
     part_board,
     peer_copy,
@@ -226,7 +227,17 @@
             self._counters,
         )
         sender = exchange.Sender(
-            self._pool, headers, self._log, self._counters
+            self._pool,
+            headers,
+            self._log,
+            self._counters,
+            notice_recorder.NoticeRecorder(
+                self._members,
+                lambda: self._active_configuration.limits.idle_ms / 1000.0,
+                lambda: self._gossip.send(is_urgent=True),
+                self._log,
+                self._counters,
+            ),
         )
         plain = forward_plain.PlainForwarder(
             self._members,
--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -8,6 +8,7 @@
 from wagtailstream_router import (
     endpoint,
     endpoint_limit,
+    endpoint_notice,
     event_log,
     health,
     lag,
@@ -82,14 +83,17 @@
 
     :param entry: the endpoint's newest entry in the store.
     :param senders: the instances that share a limit that it names.
+    :param notices: what this start of the endpoint said of itself.
     """
 
     def __init__(
         self,
         entry: endpoint.Endpoint,
         senders: endpoint_limit.Senders | None = None,
+        notices: endpoint_notice.Notices | None = None,
     ) -> None:
         self.entry = entry
+        self.notices = notices or endpoint_notice.Notices()
         self.health = health.Health()
         self.in_flight = 0
         self.pending = PendingWork()
@@ -133,11 +137,25 @@
         return self.known_queue_ms + self.lag_ms
 
 
-def list_within_limit(
+def list_available(
     members: collections.abc.Iterable[Member],
 ) -> list[Member]:
-    """Return the members that this instance may send a request to now."""
-    return [member for member in members if not member.limit.wait_seconds]
+    """Return the members that this instance may send a request to now.
+
+    Those that told a peer that they leave are returned only if there are no
+    others.
+    """
+    available = [
+        member
+        for member in members
+        if not member.limit.wait_seconds and not member.notices.is_full
+    ]
+    staying = [
+        member
+        for member in available
+        if not member.notices.is_reported_leaving
+    ]
+    return staying or available
 
 
 class Directory:
@@ -163,6 +181,7 @@
         self._changed_end = 0
         self._seen_era = 0
         self._senders = endpoint_limit.Senders()
+        self._notices = endpoint_notice.NoticeBoard()
         self._last_writes: dict[str, _Write] = {}
 
     @property
@@ -186,15 +205,15 @@
 
     @property
     def addresses(self) -> frozenset[str]:
-        """The addresses of the members in state READY."""
+        """The addresses of the members that take new requests."""
         return frozenset(
             member.entry.address
             for member in self._members.values()
-            if member.entry.state is endpoint.EndpointState.READY
+            if _takes_requests(member)
         )
 
     def list_ready(self, service: str) -> list[Member]:
-        """Return a service's members in state READY.
+        """Return a service's members that take new requests.
 
         Lapsed members are returned only if there are no others.
         """
@@ -202,12 +221,42 @@
         ready = [
             member
             for member in self._members.values()
-            if member.entry.service == service
-            and member.entry.state is endpoint.EndpointState.READY
+            if member.entry.service == service and _takes_requests(member)
         ]
         present = [member for member in ready if not member.is_lapsed]
         return present or ready
 
+    def is_leaving(self, service: str) -> bool:
+        """Return whether an endpoint of a service said that it leaves."""
+        return any(
+            member.entry.service == service and member.notices.is_leaving
+            for member in self._members.values()
+        )
+
+    def has_successor(self, member: Member) -> bool:
+        """Return whether a later endpoint has a member's address."""
+        return any(
+            other.entry.address == member.entry.address
+            and other.entry.born_ms > member.entry.born_ms
+            for other in self._members.values()
+        )
+
+    def merge_peer_leaving(
+        self, starts: collections.abc.Iterable[tuple[str, int]]
+    ) -> None:
+        """Record which endpoints told a peer that they leave.
+
+        :param starts: the id of each and the Unix time in ms of its start.
+        """
+        for identity, born_ms in starts:
+            member = self._members.get(identity)
+            if (
+                member is not None
+                and member.entry.born_ms == born_ms
+                and member.notices.record_reported_leaving()
+            ):
+                self._log.write("endpoint_reported_leaving", endpoint=identity)
+
     def set_senders(self, senders: endpoint_limit.Senders) -> None:
         """Replace the instances that share the limits of endpoints."""
         if senders == self._senders:
@@ -287,7 +336,11 @@
         if entry.sequence is not None:
             self._record_write(identity, (entry.born_ms, entry.sequence))
         if current is None or current.entry.born_ms != entry.born_ms:
-            self._members[identity] = Member(entry, self._senders)
+            self._members[identity] = Member(
+                entry,
+                self._senders,
+                self._notices.find(identity, entry.born_ms),
+            )
             self._changed_end = self._source.end.offset
             self._log.write(
                 "endpoint_joined",
@@ -362,4 +415,16 @@
 
     def _remove(self, identity: str, reason: str) -> None:
         del self._members[identity]
+        self._notices.record_gone(identity)
         self._log.write("endpoint_gone", endpoint=identity, reason=reason)
+
+
+def _takes_requests(member: Member) -> bool:
+    """Return whether a member is ready and did not say that it leaves.
+
+    An entry that says ready may be older than what the endpoint itself said.
+    """
+    return (
+        member.entry.state is endpoint.EndpointState.READY
+        and not member.notices.is_leaving
+    )
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -14,6 +14,7 @@
     health,
     job,
     metrics,
+    notice_recorder,
     request,
     wire,
 )
@@ -138,7 +139,8 @@
     :param pool: connections to endpoints.
     :param codec: encodes requests.
     :param log: gets a line when an endpoint names another rate limit.
-    :param counters: count the limits that can't be read.
+    :param counters: count the notices of endpoints.
+    :param notices: records what endpoints say of themselves.
     """
 
     def __init__(
@@ -147,11 +149,13 @@
         codec: wire.HeaderCodec,
         log: event_log.EventLog,
         counters: metrics.Metrics,
+        notices: notice_recorder.NoticeRecorder,
     ) -> None:
         self._pool = pool
         self._codec = codec
         self._log = log
         self._counters = counters
+        self._notices = notices
 
     @contextlib.asynccontextmanager
     async def open(
@@ -182,11 +186,15 @@
         link: endpoint_link.EndpointLink | None = None
         try:
             link = await self._connect(task, member)
+            _check_notices(member)
+            asked_at = time.monotonic()
             self._send(task, member, model, link, last_event)
             head = await self._read_head(
                 task, link, head_timeout_seconds, may_fail_over
             )
             member.pending.remove(ticket)
+            self._notices.record(task, member, head, asked_at)
+            _check_head(task, link, head)
             self._record_rate_limit(member, head)
             yield Exchange(member, model, link, head)
         finally:
@@ -284,22 +292,47 @@
             ) from error
         if head.is_not_run:
             task.uncertain_runs -= 1
-            return head
-        if head.request_identity not in ("", task.call.identity):
-            link.close()
-            raise AttemptError(
-                health.Fault.BROKEN, True, "answer has another request's id"
-            )
-        if head.is_success and (not head.is_signed or head.is_encoded):
-            link.close()
-            raise AttemptError(
-                health.Fault.BROKEN,
-                True,
-                "answer is unsigned or has a content encoding",
-            )
         return head
 
 
+def _check_notices(member: directory.Member) -> None:
+    """Check what an endpoint said since it was chosen.
+
+    :raises AttemptError: it wants no request now.
+    """
+    if member.notices.is_leaving:
+        raise AttemptError(
+            health.Fault.LEAVING, False, "said that it leaves; not sent"
+        )
+    if member.notices.is_full:
+        raise AttemptError(
+            health.Fault.FULL, False, "said that it is full; not sent"
+        )
+
+
+def _check_head(
+    task: job.Job, link: endpoint_link.EndpointLink, head: request.AnswerHead
+) -> None:
+    """Check that a head belongs to an answer that can be passed on.
+
+    :raises AttemptError: it belongs to another request, or is unsigned.
+    """
+    if head.is_not_run:
+        return
+    if head.request_identity not in ("", task.call.identity):
+        link.close()
+        raise AttemptError(
+            health.Fault.BROKEN, True, "answer has another request's id"
+        )
+    if head.is_success and (not head.is_signed or head.is_encoded):
+        link.close()
+        raise AttemptError(
+            health.Fault.BROKEN,
+            True,
+            "answer is unsigned or has a content encoding",
+        )
+
+
 async def _wait_head(
     link: endpoint_link.EndpointLink,
     head_timeout_seconds: float,
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -93,9 +93,15 @@
                 )
                 return
             member = self._choose(task)
+            if member is None and await self._retry_policy.wait_until_free(
+                task, self._list_untried(task)
+            ):
+                continue
             if member is None:
                 self._responder.answer_without_endpoint(
-                    task, self._list_untried(task), reason
+                    task,
+                    self._list_untried(task),
+                    forwarding.absence_reason(task, self._members, reason),
                 )
                 return
             try:
@@ -112,7 +118,7 @@
 
     def _choose(self, task: job.Job) -> directory.Member | None:
         return placement.choose_plain(
-            directory.list_within_limit(self._list_untried(task)),
+            directory.list_available(self._list_untried(task)),
             self._zone,
             self._random,
         )
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -127,9 +127,20 @@
                 )
                 return
             chosen = self._choose(self._model)
+            if (
+                chosen is None
+                and await self._owner._retry_policy.wait_until_free(
+                    task, self._list_candidates()
+                )
+            ):
+                continue
             if chosen is None:
                 self._owner._responder.answer_without_endpoint(
-                    task, self._list_candidates(), self._reason
+                    task,
+                    self._list_candidates(),
+                    forwarding.absence_reason(
+                        task, self._owner._members, self._reason
+                    ),
                 )
                 return
             member = chosen.member
@@ -177,7 +188,7 @@
 
     def _choose(self, model: str) -> placement.Estimate | None:
         return placement.choose_engine(
-            directory.list_within_limit(self._list_candidates()),
+            directory.list_available(self._list_candidates()),
             self._task.route,
             model,
             self._task.call,
@@ -235,7 +246,7 @@
         return (
             task.route.may_repeat
             and len(ready) > 1
-            and bool(directory.list_within_limit(self._list_candidates()))
+            and bool(directory.list_available(self._list_candidates()))
         )
 
     async def _attempt(self, chosen: placement.Estimate) -> bool:
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import collections.abc
+import math
+import random
 import time
 
 from wagtailstream_router import (
@@ -9,6 +11,7 @@
     directory,
     event_log,
     exchange,
+    full_endpoints,
     health,
     job,
     metrics,
@@ -36,7 +39,11 @@
     health.Fault.BROKEN: metrics.Counter.RETRIED_BROKEN,
     health.Fault.ERROR: metrics.Counter.RETRIED_ERROR,
     health.Fault.SHED: metrics.Counter.RETRIED_SHED,
+    health.Fault.LEAVING: metrics.Counter.RETRIED_LEAVING,
+    health.Fault.FULL: metrics.Counter.RETRIED_FULL,
 }
+# These are no failures: the request was not sent, as the endpoint had asked.
+_NOT_SENT = frozenset({health.Fault.LEAVING, health.Fault.FULL})
 
 
 class ErrorResponder:
@@ -56,6 +63,7 @@
         self._codec = codec
         self._log = log
         self._counters = counters
+        self._random = random.Random()
 
     def refuse(
         self,
@@ -103,13 +111,25 @@
     ) -> None:
         """Answer a request for which no endpoint could be chosen.
 
-        :param members: the endpoints that could run it, all at their limit.
+        :param members: the endpoints that could run it, all full or at their
+            limit.
         :param reason: the counter of the reason if there are none.
         """
         if not members:
             self.answer_unserved(task, reason)
             return
-        wait_seconds = min(member.limit.wait_seconds for member in members)
+        wait_seconds = full_endpoints.free_at(members) - time.monotonic()
+        if all(member.notices.is_full for member in members):
+            if math.isinf(wait_seconds):
+                wait_seconds = MAX_RETRY_AFTER_SECONDS
+            self.answer_unserved(
+                task,
+                metrics.Counter.REFUSED_FULL,
+                full_endpoints.spread_seconds(
+                    max(wait_seconds, RETRY_AFTER_SECONDS), self._random
+                ),
+            )
+            return
         self.answer_unserved(
             task,
             metrics.Counter.REFUSED_LIMITED,
@@ -191,6 +211,7 @@
         self._counters = counters
         self._budgets: dict[str, retry_budget.RetryBudget] = {}
         self._count_processes = count_processes
+        self._full_queue = full_endpoints.FullQueue()
 
     def set_bounds(self, bounds: retry_budget.BudgetBounds) -> None:
         """Replace the bounds of the retry budget."""
@@ -209,6 +230,9 @@
         error: exchange.AttemptError,
     ) -> None:
         """Record a failed attempt at an endpoint."""
+        is_paused = False
+        if error.fault not in _NOT_SENT:
+            is_paused = member.health.record_failure(error.fault)
         if error.fault is health.Fault.BROKEN:
             self._crashes.record_cut(
                 _request_digest(task),
@@ -219,7 +243,6 @@
             self._start_probe(member)
         elif error.fault is health.Fault.UNREACHABLE:
             self._crashes.record_lost(member.identity)
-        is_paused = member.health.record_failure(error.fault)
         self._log.write(
             "attempt_failed",
             request=task.call.identity,
@@ -235,6 +258,32 @@
         if is_paused:
             self._report_paused(member, error.fault)
 
+    async def wait_until_free(
+        self,
+        task: job.Job,
+        members: collections.abc.Collection[directory.Member],
+    ) -> bool:
+        """Wait until one of some full endpoints takes requests again.
+
+        :param members: the endpoints that could run the request.
+        :returns: whether one does; False, at once, if none was full or none
+            is free before the request's deadline.
+        """
+        until = full_endpoints.free_at(
+            member for member in members if member.notices.is_full
+        )
+        if until >= task.deadline or not self.may_send_extra(task):
+            return False
+        self._counters.count(metrics.Counter.WAITED_FULL)
+        self._log.write_routine(
+            "waiting_for_full_endpoint",
+            request=task.call.identity,
+            endpoints=sorted(member.identity for member in members),
+            ms=round((until - time.monotonic()) * 1000.0),
+        )
+        await self._full_queue.wait(until, task.priority)
+        return True
+
     def _start_probe(self, member: directory.Member) -> None:
         """Start a check of whether an endpoint that cut an answer crashed."""
         probe = asyncio.ensure_future(self._probe(member))
@@ -350,6 +399,7 @@
             usual_ms=round(member.health.duration_ms, 1),
             bad_share=round(member.health.bad_share, 2),
             limit=member.limit.per_second,
+            reported_leaving=member.notices.is_reported_leaving or None,
             expected_ms=round(expected_ms)
             if expected_ms is not None
             else None,
@@ -379,6 +429,20 @@
     return part_board.list_parts(task.call)
 
 
+def absence_reason(
+    task: job.Job, members: directory.Directory, reason: metrics.Counter
+) -> metrics.Counter:
+    """Return why there is no endpoint for a request.
+
+    :param reason: the reason if no endpoint has said that it leaves.
+    """
+    if reason is metrics.Counter.REFUSED_NO_ENDPOINT and members.is_leaving(
+        task.service
+    ):
+        return metrics.Counter.REFUSED_LEAVING
+    return reason
+
+
 def seconds_left(task: job.Job) -> float:
     """Return the seconds until a request's deadline, at least 0."""
     return max(0.0, task.deadline - time.monotonic())
--- a/packages/wagtailstream-router/wagtailstream_router/health.py
+++ b/packages/wagtailstream-router/wagtailstream_router/health.py
@@ -26,6 +26,9 @@
     BROKEN = "broken"
     ERROR = "error"
     SHED = "shed"
+    # Not sent: the endpoint said so of itself after it had been chosen.
+    LEAVING = "leaving"
+    FULL = "full"
 
 
 class Health:
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -11,7 +11,7 @@
 
 # The first field of a message. Raise it with each change of the fields:
 # messages of instances of another release are ignored, not misread.
-MESSAGE_FORMAT = 6
+MESSAGE_FORMAT = 7
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -114,6 +114,8 @@
     :param crashes: the crashes that it observed.
     :param parts: the prompt parts that it suspects or knows to be sound.
     :param limits: the limits that endpoints named to it, by endpoint.
+    :param leaving: the id and the Unix time in ms of the start of each
+        endpoint that told it that it leaves.
     """
 
     name: str
@@ -130,6 +132,7 @@
     crashes: tuple[CrashReport, ...] = ()
     parts: part_board.PartsReport = part_board.PartsReport()
     limits: dict[str, LimitReport] = dataclasses.field(default_factory=dict)
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 def encode(report: PeerReport) -> bytes:
@@ -182,6 +185,7 @@
                 identity: [limit.per_second, round(limit.age_seconds, 3)]
                 for identity, limit in report.limits.items()
             },
+            report.leaving,
         ]
     )
     return zlib.compress(rows, COMPRESSION_LEVEL)
@@ -267,6 +271,7 @@
             suspicions,
             sound,
             limits,
+            leaving,
         ) = orjson.loads(_decompress(data))
         if message_format != MESSAGE_FORMAT:
             raise ValueError(f"message of format {message_format!r}")
@@ -327,6 +332,7 @@
                 str(identity): _decode_limit(per_second, age)
                 for identity, (per_second, age) in limits.items()
             },
+            tuple((str(identity), int(born)) for identity, born in leaving),
         )
     except (TypeError, AttributeError, KeyError) as error:
         raise ValueError(f"not a peer message: {error!r}") from error
--- a/packages/wagtailstream-router/wagtailstream_router/request.py
+++ b/packages/wagtailstream-router/wagtailstream_router/request.py
@@ -1,6 +1,7 @@
 """Decoded requests and answer heads, independent of the wire format."""
 
 import dataclasses
+import enum
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +106,26 @@
     is_malformed: bool = False
 
 
+class Leaving(enum.Enum):
+    """Whether an endpoint states in an answer that it leaves."""
+
+    NOT_STATED = "not_stated"
+    STATED = "stated"
+    MALFORMED = "malformed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RetryAfter:
+    """The time for which an endpoint wants no requests from an instance.
+
+    :param seconds: the time from the answer on; None if it names none.
+    :param is_malformed: whether it names one that is no time.
+    """
+
+    seconds: float | None = None
+    is_malformed: bool = False
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """The head of an endpoint's answer, decoded from HTTP.
@@ -120,6 +141,9 @@
         if the endpoint sent none.
     :param is_encoded: whether the body has a content encoding.
     :param rate_limit: the limit that the endpoint names.
+    :param leaving: whether the endpoint states that it leaves.
+    :param retry_after: for how long the endpoint wants no requests.
+    :param endpoint: the id of the endpoint that answers; "" if it sent none.
     """
 
     status: int
@@ -131,6 +155,9 @@
     idle_seconds: float | None
     is_encoded: bool
     rate_limit: RateLimit = RateLimit()
+    leaving: Leaving = Leaving.NOT_STATED
+    retry_after: RetryAfter = RetryAfter()
+    endpoint: str = ""
 
     @property
     def is_success(self) -> bool:
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -85,6 +85,7 @@
             self._list_crashes(),
             state.crashes.parts.make_report(),
             self._list_limits(),
+            self._list_leaving(),
         )
 
     def _list_loads(self) -> dict[str, peer_report.EndpointLoad]:
@@ -116,6 +117,13 @@
             or now - own.at < REPORT_ENDED_LIMIT_SECONDS
         }
 
+    def _list_leaving(self) -> tuple[tuple[str, int], ...]:
+        return tuple(
+            (member.identity, member.entry.born_ms)
+            for member in self._state.members.members.values()
+            if member.notices.is_leaving
+        )
+
     def _list_copies(self) -> tuple[peer_report.CopyReport, ...]:
         operator = self._state.operator
         entries = self._state.entries
@@ -179,6 +187,7 @@
                 for identity, limit in report.limits.items()
             }
         )
+        state.members.merge_peer_leaving(report.leaving)
         state.crashes.set_peer_crashes(
             report.name,
             [
