--- a/packages/wagtailstream-agent/wagtailstream_agent/app.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/app.py
@@ -295,6 +295,11 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
+        loop.add_signal_handler(
+            signal.SIGHUP,
+            _LOGGER.info,
+            "SIGHUP ignored: settings are read at the start only",
+        )
         self._start(self._follower.run())
         self._start(self._snapshot_keeper.run())
         self._start(self._outbox.run())
--- a/packages/wagtailstream-agent/wagtailstream_agent/cli.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/cli.py
@@ -59,7 +59,3 @@
         click.echo(str(error), err=True)
         sys.exit(EXIT_INVALID_SETTINGS)
     return loaded
-
-
-if __name__ == "__main__":
-    main()
--- a/packages/wagtailstream-entry/wagtailstream_entry/app.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/app.py
@@ -313,6 +313,11 @@
         loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self._stop.set)
+        loop.add_signal_handler(
+            signal.SIGHUP,
+            _LOGGER.info,
+            "SIGHUP ignored: settings are read at the start only",
+        )
         tasks = [
             asyncio.ensure_future(coroutine)
             for coroutine in (
--- a/packages/wagtailstream-entry/wagtailstream_entry/cli.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/cli.py
@@ -124,7 +124,3 @@
         if name.startswith("refused")
     ]
     return "\n".join(lines)
-
-
-if __name__ == "__main__":
-    main()
--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -68,6 +68,7 @@
     :param headers: decodes and encodes heads of requests and answers.
     :param records: decodes and encodes records of the store.
     :param source: reads the settings again on a change; None to keep them.
+    :param is_reload_due: returns whether SIGHUP came before `serve`.
     """
 
     def __init__(
@@ -79,7 +80,9 @@
         log: event_log.EventLog,
         counters: metrics.Metrics,
         source: settings_watch.SettingsSource | None = None,
+        is_reload_due: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
+        self._is_reload_due = is_reload_due
         self._settings = settings
         self._watch = settings_watch.SettingsWatch(
             source or settings_watch.FixedSettings(settings),
@@ -288,6 +291,8 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._watch.request_reload)
+        if self._is_reload_due():
+            self._watch.request_reload()
         self._listeners.open(
             "callers", self._server, self._settings.callers_address
         )
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -253,7 +253,7 @@
         return self._group.start(
             f"agent-{name}",
             "-m",
-            "wagtailstream_agent.cli",
+            "wagtailstream_agent",
             "serve",
             str(path),
         )
@@ -335,7 +335,7 @@
         value |= self._options.entry | (settings or {})
         path.write_text(yaml.safe_dump(value))
         entry = self._group.start(
-            name, "-m", "wagtailstream_entry.cli", "serve", str(path)
+            name, "-m", "wagtailstream_entry", "serve", str(path)
         )
         self._put_instance(
             name,
@@ -377,7 +377,7 @@
             [
                 sys.executable,
                 "-m",
-                "wagtailstream_entry.cli",
+                "wagtailstream_entry",
                 *arguments,
                 "--settings",
                 str(self._directory / f"{operator}.yaml"),
--- a/tests/integration/test_configuration_rollout.py
+++ b/tests/integration/test_configuration_rollout.py
@@ -37,7 +37,7 @@
         paused.freeze()
         settings = str(started.directory / "alice.yaml")
         command = subprocess.Popen(
-            [sys.executable, "-m", "wagtailstream_entry.cli", *ADVANCE]
+            [sys.executable, "-m", "wagtailstream_entry", *ADVANCE]
             + ["--settings", settings, "--wait", "60"],
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -92,7 +92,7 @@
         [
             sys.executable,
             "-m",
-            "wagtailstream_entry.cli",
+            "wagtailstream_entry",
             "status",
             started.entries[0].url,
             "--format",
--- a/tests/router/test_logs.py
+++ b/tests/router/test_logs.py
@@ -9,7 +9,7 @@
 
 from click import testing
 
-from wagtailstream_adapter import __main__ as command
+from wagtailstream_adapter import command_line as command
 from wagtailstream_router import event_log, metrics
 
 FLOOD = """
