Charge a second model's time by the square of the queue

Cause: the price of an engine's second rose in proportion to the mean queue from 0 on. A prompt of 1.5 s cost 1.5 credits at a queue of 0.2 s, though such a queue makes no other answer late.

Change: the price falls with the square of the queue below the full one.

--- a/packages/wagtailstream-router/wagtailstream_router/ladder.py
+++ b/packages/wagtailstream-router/wagtailstream_router/ladder.py
@@ -31,8 +31,9 @@
 # large values overflows.
 _MAX_EXPONENT = 50.0
 # The price of a second of model server time, about the credit that a second
-# earns, and the mean queue in ms from which it applies in full; with shorter
-# queues the price is proportionally lower.
+# earns, and the mean queue in ms from which it applies in full. With shorter
+# queues it falls by their square: work makes other answers late only where
+# queues come near the target times.
 _CREDIT_PER_SERVER_SECOND = 4.0
 _FULL_QUEUE_MS = 800.0
 
@@ -194,4 +195,4 @@
 
 def _time_price(work_ms: float, queue_ms: float) -> float:
     fullness = min(1.0, queue_ms / _FULL_QUEUE_MS)
-    return work_ms / 1000.0 * _CREDIT_PER_SERVER_SECOND * fullness
+    return work_ms / 1000.0 * _CREDIT_PER_SERVER_SECOND * fullness**2
