--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -6,6 +6,7 @@
 from wagtailstream_router import (
     directory,
     endpoint,
+    engine_time,
     placement,
     request,
     warm_prompts,
@@ -19,7 +20,9 @@
     ),
     prompt_tokens=15_000,
 )
-ROUTE = support.get_route("stream")
+SPEED = engine_time.estimate_speed(
+    support.get_route("stream"), support.MODELS[-1]
+)
 MODEL = support.MODELS[-1]
 
 
@@ -43,7 +46,7 @@
 def choose_server(
     members: list[directory.Member], warm: warm_prompts.WarmPrompts
 ) -> placement.Estimate:
-    chosen = placement.choose_engine(members, ROUTE, MODEL, CALL, warm)
+    chosen = placement.choose_engine(members, SPEED, MODEL, CALL, warm)
     assert chosen is not None
     return chosen
 
