Revert "Learn the times of model servers from their first tokens"

Where nothing known waits, a first token still comes late by the batch of the server; that is taken for its speed.

--- a/packages/wagtailstream-router/wagtailstream_router/engine_time.py
+++ b/packages/wagtailstream-router/wagtailstream_router/engine_time.py
@@ -13,13 +13,11 @@
     :param pairs_ms: attention: per million pairs of a new prompt token and an
         earlier one.
     :param decode_ms: per token of the answer.
-    :param start_ms: before any first token, beside the work.
     """
 
     prefill_ms: float
     pairs_ms: float
     decode_ms: float
-    start_ms: float = 0.0
 
 
 # The users' specification states 63.9 prompt tokens per ms and 3.7 ms per
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -12,7 +12,6 @@
 from wagtailstream_router import (
     answer_watch,
     directory,
-    engine_learning,
     engine_time,
     event_log,
     exchange,
@@ -82,7 +81,6 @@
         self._responder = responder
         self._versions = versions
         self._warm = warm
-        self._learning = engine_learning.EngineLearning()
         self._credits = credits_
         self._sizes = ladder.SizeMeans()
         self._log = log
@@ -191,9 +189,7 @@
     def _choose(self, model: str) -> placement.Estimate | None:
         return placement.choose_engine(
             directory.list_available(self._list_candidates()),
-            self._owner._learning.estimate_speed(
-                self._task.service, self._task.route, model
-            ),
+            self._task.route,
             model,
             self._task.call,
             self._owner._warm,
@@ -304,15 +300,7 @@
             head = answer.head
             head_ms = (time.monotonic() - began) * 1000.0
             if head.is_success:
-                late_ms = head_ms - chosen.known_ms
-                member.lag.record(late_ms)
-                self._owner._learning.record(
-                    task.service,
-                    self._model,
-                    chosen.queue_ms,
-                    chosen.work_ms,
-                    late_ms,
-                )
+                member.lag.record(head_ms - chosen.known_ms)
             if head.is_not_run:
                 raise await answer.read_refusal()
             if not head.is_success:
--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from wagtailstream_router import (
+    configuration,
     directory,
     engine_time,
     health,
@@ -45,14 +46,12 @@
     :param work_ms: to prefill the request's prompt.
     :param known_ms: `first_ms` without the server's observed lag: the work
         that instances have in flight there, and the prompt.
-    :param queue_ms: the work that instances have in flight there.
     """
 
     member: directory.Member
     first_ms: float
     work_ms: float
     known_ms: float
-    queue_ms: float
 
 
 def choose_plain(
@@ -80,7 +79,7 @@
 
 def choose_engine(
     members: collections.abc.Sequence[directory.Member],
-    speed: engine_time.ModelSpeed,
+    route: configuration.Route,
     model: str,
     call: request.Request,
     warm: warm_prompts.WarmPrompts,
@@ -91,8 +90,7 @@
     server: the one that rendezvous hashing of this part ranks first.
 
     :param members: the candidates; None is returned if there are none.
-    :param speed: the expected times of the model that is to be asked.
-    :param model: the model's name.
+    :param model: the model that is to be asked.
     :param warm: tracks which prompt parts each server has cached.
     """
     usable = _prefer_healthy(members)
@@ -100,6 +98,7 @@
         return None
     key = f"{model}|{call.shared_part or call.identity}"
     ranked = sorted(usable, key=lambda member: -_rendezvous_hash(member, key))
+    speed = engine_time.estimate_speed(route, model)
     shared = call.prompt_tokens - call.own_tokens
     median_ms = median_duration_ms(usable)
     best: Estimate | None = None
@@ -110,7 +109,7 @@
             speed, call.prompt_tokens, cached_tokens
         )
         work_ms *= _slowness(member, median_ms)
-        first_ms = member.queue_ms + work_ms + speed.start_ms
+        first_ms = member.queue_ms + work_ms
         uncached_tokens = max(0, shared - cached_tokens)
         score = (
             first_ms
@@ -119,9 +118,8 @@
         )
         score += LOAD_MS * member.load
         if score < best_score:
-            queue_ms = member.known_queue_ms
-            known_ms = queue_ms + work_ms + speed.start_ms
-            best = Estimate(member, first_ms, work_ms, known_ms, queue_ms)
+            known_ms = member.known_queue_ms + work_ms
+            best = Estimate(member, first_ms, work_ms, known_ms)
             best_score = score
     return best
 
--- a/tests/router/test_placement.py
+++ b/tests/router/test_placement.py
@@ -6,7 +6,6 @@
 from wagtailstream_router import (
     directory,
     endpoint,
-    engine_time,
     placement,
     request,
     warm_prompts,
@@ -20,9 +19,7 @@
     ),
     prompt_tokens=15_000,
 )
-SPEED = engine_time.estimate_speed(
-    support.get_route("stream"), support.MODELS[-1]
-)
+ROUTE = support.get_route("stream")
 MODEL = support.MODELS[-1]
 
 
@@ -46,7 +43,7 @@
 def choose_server(
     members: list[directory.Member], warm: warm_prompts.WarmPrompts
 ) -> placement.Estimate:
-    chosen = placement.choose_engine(members, SPEED, MODEL, CALL, warm)
+    chosen = placement.choose_engine(members, ROUTE, MODEL, CALL, warm)
     assert chosen is not None
     return chosen
 
