--- a/standins/platform_caller.py
+++ b/standins/platform_caller.py
@@ -33,6 +33,13 @@
         self._writer = writer
         self._framing = h11.Connection(h11.CLIENT)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether another request may be sent."""
+        return (
+            self._framing.our_state is h11.IDLE and not self._reader.at_eof()
+        )
+
     async def call(
         self,
         method: str,
@@ -106,3 +113,40 @@
         return await connection.call(method, target, headers, body)
     finally:
         connection.close()
+
+
+class KeptConnections:
+    """One caller's connections, each used until it is closed."""
+
+    def __init__(self) -> None:
+        self._by_host: dict[str, CallerConnection] = {}
+
+    async def call(
+        self,
+        port: int,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes = b"",
+        host: str = "127.0.0.1",
+    ) -> Reply:
+        """Send a request on the host's connection, or on a new one."""
+        connection = self._by_host.pop(host, None)
+        if connection is None or not connection.is_open:
+            connection = await connect(port, host)
+        try:
+            reply = await connection.call(method, target, headers, body)
+        except BaseException:
+            connection.close()
+            raise
+        if connection.is_open and reply.is_complete:
+            self._by_host[host] = connection
+        else:
+            connection.close()
+        return reply
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in self._by_host.values():
+            connection.close()
+        self._by_host.clear()
--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -219,6 +219,7 @@
         session: str = "",
         shared: tuple[str, ...] = (),
         body: bytes = b"body",
+        kept: platform_caller.KeptConnections | None = None,
     ) -> platform_caller.Reply:
         """Send a request to a router and return its answer.
 
@@ -229,6 +230,7 @@
         :param shared: the prompt parts that it shares with others; () for one
             that its session determines.
         :param body: the body, unless the kind is ``safe``.
+        :param kept: the caller's connections; None for a new one.
         :returns: the answer; its status is 0 if none came in time.
         """
         parts = [f"{part}:200" for part in shared or (f"aa{session}",)]
@@ -247,7 +249,8 @@
         method = "GET" if kind == "safe" else "POST"
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(CALL_LIMIT_SECONDS):
-                return await platform_caller.call(
+                call = platform_caller.call if kept is None else kept.call
+                return await call(
                     self._ports.callers,
                     method,
                     f"/{kind}/x",
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -325,19 +325,28 @@
         self._record_disturbed(name, began)
 
     async def _run_caller(self, number: int) -> None:
+        # Every second caller uses its connections until they are closed.
+        kept = platform_caller.KeptConnections() if number % 2 else None
         while not self._is_finished:
             self._sent += 1
             kind = self._random.choice(["safe", "unsafe", "streaming"])
-            await self._call(f"{number}-{self._sent}", kind)
+            await self._call(f"{number}-{self._sent}", kind, kept)
             await asyncio.sleep(0.02)
-
-    async def _call(self, request_id: str, kind: str) -> None:
+        if kept is not None:
+            kept.close()
+
+    async def _call(
+        self,
+        request_id: str,
+        kind: str,
+        kept: platform_caller.KeptConnections | None,
+    ) -> None:
         if kind == "unsafe":
             self._unsafe.add(request_id)
         is_recovering = self._is_recovering
         address = self._random.choice(self._fleet.addresses)
         self._notices.record_call(request_id, address, time.monotonic())
-        reply = await self._fleet.call(request_id, kind, address)
+        reply = await self._fleet.call(request_id, kind, address, kept=kept)
         if reply.headers.get(names.LEAVING.lower()) == "1":
             self._notices.record_passed_on(request_id, time.monotonic())
         self.outcome.statuses[reply.status] += 1
@@ -354,6 +363,9 @@
             self._report_violation(
                 f"{request_id}: status {reply.status} for a valid request"
             )
+        echo = reply.headers.get(names.REQUEST_ID.lower(), request_id)
+        if echo != request_id:
+            self._report_violation(f"{request_id}: got the answer to {echo}")
         if reply.status != 200 or not reply.is_complete:
             return
         expected = STREAM_BODY if kind == "streaming" else PLAIN_BODY
