Take no late copy of a refusal for the refusal of the next request

What callers would see: 503, "not run", for an unsafe request that runs (REFUSED), and a second run when they ask again (TWICE).

Cause: the head of an answer that states that nothing ran was believed before its request id was looked at. A second copy of an earlier refusal, late, on a connection in use again, was thus taken for the refusal of the running request.

Change: an answer with another request's id says nothing, whatever its status. The attempt has failed and may have run.

The stand-in endpoint sends late copies, and the soak draws them.

--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -194,7 +194,7 @@
             )
             member.pending.remove(ticket)
             self._notices.record(task, member, head, asked_at)
-            _check_head(task, link, head)
+            _check_head(link, head)
             self._record_rate_limit(member, head)
             yield Exchange(member, model, link, head)
         finally:
@@ -290,6 +290,13 @@
             raise AttemptError(
                 health.Fault.BROKEN, True, str(error)
             ) from error
+        if head.request_identity not in ("", task.call.identity):
+            # A late copy of an earlier answer: it says nothing about this
+            # request, also if it states that nothing ran.
+            link.close()
+            raise AttemptError(
+                health.Fault.BROKEN, True, "answer has another request's id"
+            )
         if head.is_not_run:
             task.uncertain_runs -= 1
         return head
@@ -311,19 +318,14 @@
 
 
 def _check_head(
-    task: job.Job, link: endpoint_link.EndpointLink, head: request.AnswerHead
+    link: endpoint_link.EndpointLink, head: request.AnswerHead
 ) -> None:
     """Check that a head belongs to an answer that can be passed on.
 
-    :raises AttemptError: it belongs to another request, or is unsigned.
+    :raises AttemptError: a success is unsigned or has a content encoding.
     """
     if head.is_not_run:
         return
-    if head.request_identity not in ("", task.call.identity):
-        link.close()
-        raise AttemptError(
-            health.Fault.BROKEN, True, "answer has another request's id"
-        )
     if head.is_success and (not head.is_signed or head.is_encoded):
         link.close()
         raise AttemptError(
--- a/packages/wagtailstream-router/wagtailstream_router/notice_recorder.py
+++ b/packages/wagtailstream-router/wagtailstream_router/notice_recorder.py
@@ -48,27 +48,22 @@
 
         :param asked_at: when the request was sent, by the monotonic clock.
         """
-        if not self._is_from(task, member, head):
+        if not self._is_from(member, head):
             return
         self._record_leaving(task, member, head.leaving)
         if head.status == 503:
             self._record_full(task, member, head.retry_after, asked_at)
 
     def _is_from(
-        self,
-        task: job.Job,
-        member: directory.Member,
-        head: request.AnswerHead,
+        self, member: directory.Member, head: request.AnswerHead
     ) -> bool:
-        """Return whether an answer is the endpoint's own, to this request.
+        """Return whether an answer is the endpoint's own.
 
-        Its address may have been given to another endpoint, and a late copy
-        of an answer may come in the place of the next one.
+        Its address may have been given to another endpoint. Answers to other
+        requests are dropped before.
         """
         if head.status == 421:
             return False
-        if head.request_identity not in ("", task.call.identity):
-            return False
         if head.endpoint:
             return head.endpoint == member.identity
         return not self._members.has_successor(member)
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -55,6 +55,8 @@
     :param noise: bytes to repeat instead of an answer until the router
         closes.
     :param pause_seconds: the pause between repetitions.
+    :param late_copy_seconds: when a second copy of the whole answer follows
+        it on the same connection, whatever runs there then; None for never.
     :param is_written_at_once: whether head and body are one write, and the
         end of the connection follows at once.
     """
@@ -72,6 +74,7 @@
     gate: asyncio.Event | None = None
     noise: bytes = b""
     pause_seconds: float = 0.0
+    late_copy_seconds: float | None = None
     is_written_at_once: bool = False
 
 
@@ -412,8 +415,11 @@
     """Write an answer; return whether the connection stays open."""
     answer = _AnswerWriter(plan, arrival, framing)
     data = answer.encode_head()
+    copy = data
     for piece in plan.pieces:
-        data += answer.encode_data(piece)
+        encoded = answer.encode_data(piece)
+        data += encoded
+        copy += encoded
         if not plan.is_written_at_once:
             writer.write(data)
             data = b""
@@ -428,7 +434,12 @@
     if plan.end is End.ENDLESS:
         repeated = answer.encode_data(plan.pieces[-1])
         return await _repeat(repeated, plan.pause_seconds, writer)
-    writer.write(answer.encode_end())
+    end = answer.encode_end()
+    writer.write(end)
+    if plan.late_copy_seconds is not None:
+        asyncio.get_running_loop().call_later(
+            plan.late_copy_seconds, writer.write, copy + end
+        )
     if plan.end is End.EXTRA:
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
     if plan.is_written_at_once:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -238,6 +238,7 @@
         end = self._random.choice(
             [platform_endpoint.End.CUT, platform_endpoint.End.SILENT]
         )
+        pause_seconds = self._random.uniform(0.0, 0.05)
         faulty_plans = [
             dataclasses.replace(plan, pieces=pieces, end=end),
             dataclasses.replace(plan, answers=False),
@@ -245,6 +246,13 @@
             dataclasses.replace(plan, echo="another"),
             dataclasses.replace(plan, is_signed=False),
             platform_endpoint.Plan(503, is_not_run=True, is_signed=False),
+            dataclasses.replace(plan, late_copy_seconds=pause_seconds),
+            platform_endpoint.Plan(
+                503,
+                is_not_run=True,
+                is_signed=False,
+                late_copy_seconds=pause_seconds,
+            ),
         ]
         for _ in range(self._random.randint(1, 4)):
             endpoint.plans.append(self._random.choice(faulty_plans))
--- /dev/null
+++ b/tests/router/test_late_copies.py
@@ -0,0 +1,93 @@
+"""A second copy of an answer comes late, on a connection in use again."""
+
+import asyncio
+import collections.abc
+
+import pytest
+
+from standins import platform_endpoint
+from tests.router import support
+from wagtailstream_adapter import names
+
+LATE_SECONDS = 0.15
+REFUSAL = platform_endpoint.Plan(
+    503,
+    (b"full",),
+    is_signed=False,
+    is_not_run=True,
+    late_copy_seconds=LATE_SECONDS,
+)
+SUCCESS = platform_endpoint.Plan(late_copy_seconds=LATE_SECONDS)
+ERROR = platform_endpoint.Plan(
+    500, (b"error",), late_copy_seconds=LATE_SECONDS
+)
+
+
+@pytest.fixture
+async def single() -> collections.abc.AsyncIterator[
+    tuple[support.Fleet, platform_endpoint.PlatformEndpoint]
+]:
+    """Return a router with one plain endpoint, not yet started."""
+    fleet = support.Fleet()
+    fleet.platform.put_configuration(support.make_configuration())
+    endpoint = await fleet.add_endpoint("plain-1", "plain")
+    await fleet.start()
+    try:
+        yield fleet, endpoint
+    finally:
+        await fleet.close()
+
+
+@pytest.mark.parametrize("first", [REFUSAL, SUCCESS, ERROR])
+async def test_a_running_request_is_said_not_to_have_run(
+    single: tuple[support.Fleet, platform_endpoint.PlatformEndpoint],
+    first: platform_endpoint.Plan,
+) -> None:
+    fleet, endpoint = single
+    gate = asyncio.Event()
+    endpoint.plans = [first, platform_endpoint.Plan(gate=gate)]
+    await fleet.call("POST", support.UNSAFE_PATH, b"x", "request-1")
+    second = await fleet.call("POST", support.UNSAFE_PATH, b"x", "request-2")
+    gate.set()
+    assert endpoint.connections == 1
+    assert [
+        arrival.headers[names.REQUEST_ID.lower()]
+        for arrival in endpoint.arrivals
+    ][-1] == "request-2"
+    # It runs, and its outcome is unknown.
+    assert second.status == 502
+
+
+@pytest.mark.parametrize("first", [REFUSAL, SUCCESS, ERROR])
+async def test_a_copy_before_the_next_request_is_given_to_it(
+    single: tuple[support.Fleet, platform_endpoint.PlatformEndpoint],
+    first: platform_endpoint.Plan,
+) -> None:
+    fleet, endpoint = single
+    endpoint.plans = [first]
+    await fleet.call("POST", support.UNSAFE_PATH, b"x", "request-1")
+    await asyncio.sleep(2 * LATE_SECONDS)
+    second = await fleet.call("POST", support.UNSAFE_PATH, b"x", "request-2")
+    assert (second.status, second.body) == (200, b"whole answer")
+    assert second.headers[names.REQUEST_ID.lower()] == "request-2"
+    assert endpoint.connections == 2
+
+
+async def test_a_copy_is_given_to_a_repeatable_request(
+    single: tuple[support.Fleet, platform_endpoint.PlatformEndpoint],
+) -> None:
+    fleet, endpoint = single
+    other = await fleet.add_endpoint("plain-2", "plain", state="draining")
+    endpoint.plans = [SUCCESS]
+    await fleet.call("GET", support.SAFE_PATH, identity="request-1")
+    gate = asyncio.Event()
+    endpoint.plans = [platform_endpoint.Plan(gate=gate)]
+    pending = asyncio.ensure_future(
+        fleet.call("GET", support.SAFE_PATH, identity="request-2")
+    )
+    await asyncio.sleep(0.0)
+    fleet.platform.put_endpoint(other, "plain", sequence=2)
+    second = await pending
+    gate.set()
+    assert second.headers.get(names.REQUEST_ID.lower()) == "request-2"
+    assert second.status in (200, 502)
