Let the soak copy answers late and cut single instances from the store

Late second copies of answers and refusals, while the next request runs; each router has its own link to the store. An instance without the store is not excused from what it promised.

--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -52,6 +52,7 @@
     :param crashes: whether the endpoint stops listening and aborts the
         connection instead of answering.
     :param gate: event to await before the answer.
+    :param delay_seconds: the time before the answer.
     :param noise: bytes to repeat instead of an answer until the router
         closes.
     :param pause_seconds: the pause between repetitions.
@@ -72,6 +73,7 @@
     answers: bool = True
     crashes: bool = False
     gate: asyncio.Event | None = None
+    delay_seconds: float = 0.0
     noise: bytes = b""
     pause_seconds: float = 0.0
     late_copy_seconds: float | None = None
@@ -282,6 +284,7 @@
             plan.gate, reader
         ):
             return False
+        await asyncio.sleep(plan.delay_seconds)
         if plan.crashes and self._server is not None:
             self._server.close()
         if plan.crashes or not plan.answers:
--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -72,7 +72,10 @@
             router_process.RouterProcess(address, self._ports, directory)
             for address in self.addresses
         ]
-        self.store_route = proxy.Route("")
+        # Each router reaches the store by a route of its own.
+        self.store_routes = {
+            address: proxy.Route("") for address in self.addresses
+        }
         self._sequence = 0
 
     @property
@@ -86,8 +89,9 @@
     async def start(self) -> None:
         """Start the store and the routers; wait until these are ready."""
         self.store.start()
-        self.store_route.target = self.store.address
-        await self.store_route.listen()
+        for route in self.store_routes.values():
+            route.target = self.store.address
+            await route.listen()
         self.put_configuration(1)
         for router in self.routers:
             self.start_router(router)
@@ -95,7 +99,8 @@
 
     def start_router(self, router: router_process.RouterProcess) -> None:
         """Start the process of a router that is not running."""
-        router.start(f"127.0.0.1:{self.store_route.port}", self.addresses)
+        port = self.store_routes[router.address].port
+        router.start(f"127.0.0.1:{port}", self.addresses)
 
     async def stop(self) -> None:
         """Kill the routers, then close the endpoints and the store."""
@@ -107,7 +112,8 @@
         for proxied in self.endpoints:
             await proxied.route.close()
             await proxied.endpoint.close()
-        await self.store_route.close()
+        for route in self.store_routes.values():
+            await route.close()
         await self.store.close()
 
     async def wait_all_ready(self) -> None:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -143,6 +143,8 @@
             self._fail_store,
             self._fail_endpoint,
             self._fail_endpoint,
+            self._copy_answers_late,
+            self._copy_answers_late,
             self._drain_endpoint,
             self._leave_endpoint,
             self._leave_endpoint,
@@ -238,7 +240,6 @@
         end = self._random.choice(
             [platform_endpoint.End.CUT, platform_endpoint.End.SILENT]
         )
-        pause_seconds = self._random.uniform(0.0, 0.05)
         faulty_plans = [
             dataclasses.replace(plan, pieces=pieces, end=end),
             dataclasses.replace(plan, answers=False),
@@ -246,17 +247,23 @@
             dataclasses.replace(plan, echo="another"),
             dataclasses.replace(plan, is_signed=False),
             platform_endpoint.Plan(503, is_not_run=True, is_signed=False),
-            dataclasses.replace(plan, late_copy_seconds=pause_seconds),
-            platform_endpoint.Plan(
-                503,
-                is_not_run=True,
-                is_signed=False,
-                late_copy_seconds=pause_seconds,
-            ),
         ]
         for _ in range(self._random.randint(1, 4)):
             endpoint.plans.append(self._random.choice(faulty_plans))
 
+    async def _copy_answers_late(self) -> None:
+        """Let answers come a second time, while the next request runs."""
+        endpoint = self._random.choice(self._fleet.endpoints).endpoint
+        plan = endpoint.default
+        refusal = platform_endpoint.Plan(503, is_not_run=True, is_signed=False)
+        for _ in range(self._random.randint(3, 8)):
+            seconds = self._random.uniform(0.01, 0.05)
+            first = self._random.choice([plan, refusal, refusal])
+            endpoint.plans += [
+                dataclasses.replace(first, late_copy_seconds=seconds),
+                dataclasses.replace(plan, delay_seconds=2 * seconds),
+            ]
+
     async def _drain_endpoint(self) -> None:
         proxied = self._random.choice(self._fleet.endpoints)
         self._write_state(proxied, "draining")
@@ -323,14 +330,16 @@
             for proxied in self._fleet.endpoints
         }
         name, route = self._random.choice(
-            [*routes.items(), ("store", self._fleet.store_route)]
+            [*routes.items(), *self._fleet.store_routes.items()]
         )
         mode = self._random.choice(LINK_MODES)
         began = time.monotonic()
         route.set_faults(proxy.RouteFaults(mode=mode))
         await asyncio.sleep(self._random.uniform(0.2, 1.5))
         route.set_faults(proxy.RouteFaults(mode="pass"))
-        self._record_disturbed(name, began)
+        if name in routes:
+            # Without the store, an instance keeps what it promised.
+            self._record_disturbed(name, began)
 
     async def _run_caller(self, number: int) -> None:
         # Every second caller uses its connections until they are closed.
