Refuse at once what a full endpoint would take too late to answer

What callers would see: a request held until just before its deadline for an endpoint that is free then, and answered 503 or 504 at the deadline.

Cause: a wait was allowed up to the deadline itself.

Change: it must leave the route's target time; otherwise the request is refused at once with the time to come back.

Measured: the new case of tests/router/test_endpoint_notices.py failed before and passes.

--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -267,12 +267,14 @@
 
         :param members: the endpoints that could run the request.
         :returns: whether one does; False, at once, if none was full or none
-            is free before the request's deadline.
+            is free so early that an answer may come in time: the route's
+            target time before the request's deadline.
         """
+        latest = task.deadline - task.route.target_ms / 1000.0
         until = full_endpoints.free_at(
             member for member in members if member.notices.is_full
         )
-        if until >= task.deadline or not self.may_send_extra(task):
+        if until >= latest or not self.may_send_extra(task):
             return False
         self._counters.count(metrics.Counter.WAITED_FULL)
         self._log.write_routine(
--- a/tests/router/test_endpoint_notices.py
+++ b/tests/router/test_endpoint_notices.py
@@ -464,6 +464,19 @@
     assert fleet.counters.read(metrics.Counter.REFUSED_FULL) >= 1
 
 
+async def test_a_request_waits_until_too_late_for_an_answer(
+    fleet: support.Fleet,
+) -> None:
+    """The deadline is 2.5 s away, and the route's target time is 1 s."""
+    await fleet.start()
+    await fill_all(fleet, "2.2")
+    began = time.monotonic()
+    answer = await fleet.call("POST", support.UNSAFE_PATH, identity="waits")
+    assert answer.status == 503
+    assert time.monotonic() - began < 1.0
+    assert fleet.counters.read(metrics.Counter.WAITED_FULL) == 0
+
+
 async def test_retries_are_spent_on_full_endpoints(
     fleet: support.Fleet,
 ) -> None:
