Charge a second model's time by the slots that are taken, too

Cause: the price of a server's time followed the mean queue alone. Where answers are long, slots run out first: 40 to 67 of 64 were taken per server while the mean queue was 0.3 to 1.0 s, and with the square of the queue larger models were asked more often then.

Change: the larger of queue and occupancy counts.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -93,16 +93,12 @@
                 )
                 return
             member = self._choose(task)
-            if member is None and await self._retry_policy.wait_until_free(
-                task, self._list_untried(task)
-            ):
-                continue
             if member is None:
-                self._responder.answer_without_endpoint(
-                    task,
-                    self._list_untried(task),
-                    forwarding.absence_reason(task, self._members, reason),
-                )
+                untried = self._list_untried(task)
+                if await self._retry_policy.wait_until_free(task, untried):
+                    continue
+                reason = forwarding.absence_reason(task, self._members, reason)
+                self._responder.answer_without_endpoint(task, untried, reason)
                 return
             try:
                 if await self._attempt(task, member):
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -120,27 +120,23 @@
 
     async def run(self) -> None:
         task = self._task
+        policy = self._owner._retry_policy
         while True:
-            if await self._owner._retry_policy.is_crashing(task):
+            if await policy.is_crashing(task):
                 self._owner._responder.answer_unserved(
                     task, metrics.Counter.REFUSED_CRASHING
                 )
                 return
             chosen = self._choose(self._model)
-            if (
-                chosen is None
-                and await self._owner._retry_policy.wait_until_free(
-                    task, self._list_candidates()
-                )
-            ):
-                continue
             if chosen is None:
+                candidates = self._list_candidates()
+                if await policy.wait_until_free(task, candidates):
+                    continue
+                reason = forwarding.absence_reason(
+                    task, self._owner._members, self._reason
+                )
                 self._owner._responder.answer_without_endpoint(
-                    task,
-                    self._list_candidates(),
-                    forwarding.absence_reason(
-                        task, self._owner._members, self._reason
-                    ),
+                    task, candidates, reason
                 )
                 return
             member = chosen.member
@@ -149,12 +145,10 @@
                     return
             except exchange.AttemptError as error:
                 self._record_silence(chosen, error.fault)
-                self._owner._retry_policy.record_failure(task, member, error)
+                policy.record_failure(task, member, error)
                 self._record_version_failure(member, error.fault)
                 self._reason = metrics.Counter.REFUSED_BY_ENDPOINT
-                if not self._owner._retry_policy.may_send_again(
-                    task, error.fault
-                ):
+                if not policy.may_send_again(task, error.fault):
                     self._owner._responder.answer_unserved(task, self._reason)
                     return
 
@@ -355,7 +349,7 @@
         confidence = answer.head.confidence
         if confidence is None or self._model not in task.route.sizes:
             return False
-        queue_ms = self._mean_queue_ms()
+        ready = self._owner._members.list_ready(task.service)
         target = task.call.arrived + task.route.target_ms / 1000.0
         candidates = self._list_larger()
         answered = ladder.Answered(
@@ -363,7 +357,8 @@
             self._credit,
             (target - time.monotonic()) * 1000.0,
             ladder.paid_tokens(task.call),
-            queue_ms,
+            placement.mean_queue_ms(ready),
+            placement.occupancy(ready),
         )
         larger = ladder.choose_next(
             answered, candidates, self._owner._credits.late_share
@@ -395,15 +390,10 @@
             credit=round(answered.credit, 2),
             left_ms=round(answered.left_ms),
             queue_ms=round(answered.queue_ms),
+            occupancy=round(answered.occupancy, 2),
             first_ms=[round(candidate.first_ms) for candidate in candidates],
         )
 
-    def _mean_queue_ms(self) -> float:
-        ready = self._owner._members.list_ready(self._task.service)
-        return sum(member.known_queue_ms for member in ready) / max(
-            1, len(ready)
-        )
-
     def _list_larger(self) -> list[ladder.Candidate]:
         task = self._task
         place = task.route.sizes.index(self._model)
--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -138,6 +138,20 @@
     return durations[(len(durations) - 1) // 2]
 
 
+def mean_queue_ms(
+    members: collections.abc.Sequence[directory.Member],
+) -> float:
+    """Return the mean of the members' known queues."""
+    total_ms = sum(member.known_queue_ms for member in members)
+    return total_ms / max(1, len(members))
+
+
+def occupancy(members: collections.abc.Sequence[directory.Member]) -> float:
+    """Return the share of the members' slots that is taken."""
+    slots = sum(member.entry.slots for member in members)
+    return sum(member.load for member in members) / max(1, slots)
+
+
 def _slowness(member: directory.Member, median_ms: float) -> float:
     if not median_ms or not member.health.duration_ms:
         return 1.0
