--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -358,7 +358,6 @@
             (target - time.monotonic()) * 1000.0,
             ladder.paid_tokens(task.call),
             placement.mean_queue_ms(ready),
-            placement.occupancy(ready),
         )
         larger = ladder.choose_next(
             answered, candidates, self._owner._credits.late_share
@@ -390,7 +389,6 @@
             credit=round(answered.credit, 2),
             left_ms=round(answered.left_ms),
             queue_ms=round(answered.queue_ms),
-            occupancy=round(answered.occupancy, 2),
             first_ms=[round(candidate.first_ms) for candidate in candidates],
         )
 
--- a/packages/wagtailstream-router/wagtailstream_router/ladder.py
+++ b/packages/wagtailstream-router/wagtailstream_router/ladder.py
@@ -31,9 +31,8 @@
 # large values overflows.
 _MAX_EXPONENT = 50.0
 # The price of a second of model server time, about the credit that a second
-# earns. It applies in full from this mean queue in ms on, or if all slots are
-# taken. Below, it falls by the square: work makes other answers late only
-# where servers are nearly full.
+# earns, and the mean queue in ms from which it applies in full; with shorter
+# queues the price is proportionally lower.
 _CREDIT_PER_SERVER_SECOND = 4.0
 _FULL_QUEUE_MS = 800.0
 
@@ -104,7 +103,6 @@
     :param left_ms: the time left for full credit.
     :param tokens: the tokens that a larger model would charge for.
     :param queue_ms: the mean queue of the model servers.
-    :param occupancy: the share of their slots that is taken.
     """
 
     confidence: float
@@ -112,7 +110,6 @@
     left_ms: float
     tokens: float
     queue_ms: float
-    occupancy: float = 0.0
 
 
 def compute_credit(
@@ -166,7 +163,7 @@
         earned *= in_time + late_share * (1.0 - in_time)
         gain = (earned - kept) * answered.credit
         gain -= candidate.price * answered.tokens / 1000.0
-        gain -= _time_price(candidate.work_ms, answered)
+        gain -= _time_price(candidate.work_ms, answered.queue_ms)
         if gain > best_gain:
             best = candidate.model
             best_gain = gain
@@ -195,7 +192,6 @@
     return 1.0 / (1.0 + math.exp(min(excess, _MAX_EXPONENT)))
 
 
-def _time_price(work_ms: float, answered: Answered) -> float:
-    queue_share = answered.queue_ms / _FULL_QUEUE_MS
-    fullness = min(1.0, max(queue_share, answered.occupancy))
-    return work_ms / 1000.0 * _CREDIT_PER_SERVER_SECOND * fullness**2
+def _time_price(work_ms: float, queue_ms: float) -> float:
+    fullness = min(1.0, queue_ms / _FULL_QUEUE_MS)
+    return work_ms / 1000.0 * _CREDIT_PER_SERVER_SECOND * fullness
--- a/packages/wagtailstream-router/wagtailstream_router/placement.py
+++ b/packages/wagtailstream-router/wagtailstream_router/placement.py
@@ -146,12 +146,6 @@
     return total_ms / max(1, len(members))
 
 
-def occupancy(members: collections.abc.Sequence[directory.Member]) -> float:
-    """Return the share of the members' slots that is taken."""
-    slots = sum(member.entry.slots for member in members)
-    return sum(member.load for member in members) / max(1, slots)
-
-
 def _slowness(member: directory.Member, median_ms: float) -> float:
     if not median_ms or not member.health.duration_ms:
         return 1.0
