--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -82,8 +82,8 @@
     """An endpoint with its load and health as this process sees them.
 
     :param entry: the endpoint's newest entry in the store.
-    :param senders: the instances that share a limit that it names.
-    :param notices: what this start of the endpoint said of itself.
+    :param senders: the instances that share its advertised limit.
+    :param notices: what this start of the endpoint reported.
     """
 
     def __init__(
@@ -142,7 +142,7 @@
 ) -> list[Member]:
     """Return the members that this instance may send a request to now.
 
-    Those that told a peer that they leave are returned only if there are no
+    Those that a peer reported to leave are returned only if there are no
     others.
     """
     available = [
@@ -227,7 +227,7 @@
         return present or ready
 
     def is_leaving(self, service: str) -> bool:
-        """Return whether an endpoint of a service said that it leaves."""
+        """Return whether an endpoint of a service reported leaving."""
         return any(
             member.entry.service == service and member.notices.is_leaving
             for member in self._members.values()
@@ -244,7 +244,7 @@
     def merge_peer_leaving(
         self, starts: collections.abc.Iterable[tuple[str, int]]
     ) -> None:
-        """Record which endpoints told a peer that they leave.
+        """Record which endpoints a peer reported to leave.
 
         :param starts: the id of each and the Unix time in ms of its start.
         """
@@ -269,7 +269,7 @@
         self,
         observations: collections.abc.Mapping[str, endpoint_limit.Observation],
     ) -> None:
-        """Merge the limits that endpoints named to a peer.
+        """Merge the limits that a peer received from endpoints.
 
         :param observations: the peer's newest observation by endpoint.
         """
@@ -420,9 +420,9 @@
 
 
 def _takes_requests(member: Member) -> bool:
-    """Return whether a member is ready and did not say that it leaves.
+    """Return whether a member is ready and did not report leaving.
 
-    An entry that says ready may be older than what the endpoint itself said.
+    An entry that says ready may be older than the endpoint's own report.
     """
     return (
         member.entry.state is endpoint.EndpointState.READY
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_limit.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_limit.py
@@ -1,4 +1,4 @@
-"""Keeps all instances together within the rate that an endpoint names."""
+"""Keeps all instances together within the rate that an endpoint advertises."""
 
 import dataclasses
 import math
@@ -18,10 +18,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Observation:
-    """What an endpoint named in an answer.
+    """The limit that an endpoint advertised in an answer.
 
     :param per_second: the requests a second that it takes from all instances
-        together; None if it named no limit.
+        together; None if it advertised none.
     :param at: when the answer came, by the monotonic clock.
     """
 
@@ -102,9 +102,9 @@
         return (1.0 - self._tokens) / self._rate
 
     def observe(self, per_second: float | None) -> bool:
-        """Record what the endpoint named in an answer that has just come.
+        """Record the limit in an answer that was just received.
 
-        :param per_second: the rate; None if it named none.
+        :param per_second: the rate; None if there was none.
         :returns: whether it changed.
         """
         if per_second is None and self.per_second is None:
--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_notice.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_notice.py
@@ -1,4 +1,4 @@
-"""What an endpoint said of itself: that it leaves, or that it is full."""
+"""What an endpoint reports in its answers: that it leaves or is full."""
 
 import dataclasses
 import time
@@ -8,7 +8,7 @@
 class _Full:
     """The newest time until which an endpoint wants no requests.
 
-    :param asked_at: when the request was sent whose answer named it.
+    :param asked_at: when the request was sent whose answer reported it.
     :param until: its end; both by the monotonic clock.
     """
 
@@ -33,12 +33,12 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Whether the endpoint told this instance that it leaves."""
+        """Whether an answer to this instance reported that it leaves."""
         return self._is_leaving
 
     @property
     def is_reported_leaving(self) -> bool:
-        """Whether it told a peer that it leaves.
+        """Whether a peer reported that the endpoint leaves.
 
         A report is a reason to prefer other endpoints, where there are any.
         """
@@ -55,7 +55,7 @@
         return time.monotonic() < self._full.until
 
     def record_leaving(self) -> bool:
-        """Record that the endpoint said that it leaves.
+        """Record that the endpoint reported that it leaves.
 
         :returns: whether this is new.
         """
@@ -64,7 +64,7 @@
         return is_new
 
     def record_reported_leaving(self) -> bool:
-        """Record that the endpoint told a peer that it leaves.
+        """Record that a peer reported that the endpoint leaves.
 
         :returns: whether this is new.
         """
@@ -79,7 +79,7 @@
         end is taken over only from the answer to a later request.
 
         :param asked_at: when the request was sent.
-        :param until: the end that its answer named; both by the monotonic
+        :param until: the end that its answer reported; both by the monotonic
             clock.
         :returns: whether it was taken over.
         """
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -138,9 +138,9 @@
 
     :param pool: connections to endpoints.
     :param codec: encodes requests.
-    :param log: gets a line when an endpoint names another rate limit.
+    :param log: gets a line when an endpoint advertises another rate limit.
     :param counters: count the notices of endpoints.
-    :param notices: records what endpoints say of themselves.
+    :param notices: records what endpoints report in their answers.
     """
 
     def __init__(
@@ -206,7 +206,7 @@
     def _record_rate_limit(
         self, member: directory.Member, head: request.AnswerHead
     ) -> None:
-        """Record the limit that an answer names, or that it names none.
+        """Record the limit that an answer advertises, or that it has none.
 
         An answer that states that nothing ran may come from another endpoint
         at the address, or from something before it: it ends no limit.
@@ -303,7 +303,7 @@
 
 
 def _check_notices(member: directory.Member) -> None:
-    """Check what an endpoint said since it was chosen.
+    """Check what an endpoint reported since it was chosen.
 
     :raises AttemptError: it wants no request now.
     """
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -436,7 +436,7 @@
 ) -> metrics.Counter:
     """Return why there is no endpoint for a request.
 
-    :param reason: the reason if no endpoint has said that it leaves.
+    :param reason: the reason if no endpoint has reported leaving.
     """
     if reason is metrics.Counter.REFUSED_NO_ENDPOINT and members.is_leaving(
         task.service
--- a/packages/wagtailstream-router/wagtailstream_router/health.py
+++ b/packages/wagtailstream-router/wagtailstream_router/health.py
@@ -26,7 +26,7 @@
     BROKEN = "broken"
     ERROR = "error"
     SHED = "shed"
-    # Not sent: the endpoint said so of itself after it had been chosen.
+    # Not sent: the endpoint reported it after it had been chosen.
     LEAVING = "leaving"
     FULL = "full"
 
--- a/packages/wagtailstream-router/wagtailstream_router/notice_recorder.py
+++ b/packages/wagtailstream-router/wagtailstream_router/notice_recorder.py
@@ -1,4 +1,4 @@
-"""Records what endpoints say of themselves in the heads of answers."""
+"""Records what endpoints report in the heads of their answers."""
 
 import collections.abc
 import time
@@ -44,7 +44,7 @@
         head: request.AnswerHead,
         asked_at: float,
     ) -> None:
-        """Record what the head of an answer says of its endpoint.
+        """Record what the head of an answer reports of its endpoint.
 
         :param asked_at: when the request was sent, by the monotonic clock.
         """
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -84,10 +84,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitReport:
-    """The limit that an endpoint named to an instance.
+    """The limit that an instance received from an endpoint.
 
-    :param per_second: the rate for all instances; None if it names none now.
-    :param age_seconds: the time since the answer that named it.
+    :param per_second: the rate for all instances; None if there is none now.
+    :param age_seconds: the time since the answer that advertised it.
     """
 
     per_second: float | None
@@ -107,15 +107,15 @@
     :param is_draining: whether it is shutting down.
     :param loads: its load by endpoint.
     :param rollouts: its roll-outs.
-    :param peers: addresses of instances that it hears from.
+    :param peers: addresses of instances that it receives messages from.
     :param warm: pairs of an endpoint's id and the hash of a prompt part that
         it sent there since the last message.
     :param copies: its copies of the store's topics.
     :param crashes: the crashes that it observed.
     :param parts: the prompt parts that it suspects or knows to be sound.
-    :param limits: the limits that endpoints named to it, by endpoint.
+    :param limits: the limits that it received, by endpoint.
     :param leaving: the id and the Unix time in ms of the start of each
-        endpoint that told it that it leaves.
+        endpoint that reported leaving to it.
     """
 
     name: str
--- a/packages/wagtailstream-router/wagtailstream_router/request.py
+++ b/packages/wagtailstream-router/wagtailstream_router/request.py
@@ -95,11 +95,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RateLimit:
-    """The limit that an endpoint names in an answer.
+    """The limit that an endpoint advertises in an answer.
 
     :param per_second: the requests a second that it takes from all instances
-        together; None if it names none.
-    :param is_malformed: whether it names one that is no rate.
+        together; None if it advertises none.
+    :param is_malformed: whether it advertises one that is no rate.
     """
 
     per_second: float | None = None
@@ -118,8 +118,8 @@
 class RetryAfter:
     """The time for which an endpoint wants no requests from an instance.
 
-    :param seconds: the time from the answer on; None if it names none.
-    :param is_malformed: whether it names one that is no time.
+    :param seconds: the time from the answer on; None if there is none.
+    :param is_malformed: whether there is one that is no time.
     """
 
     seconds: float | None = None
@@ -140,7 +140,7 @@
     :param idle_seconds: how long the endpoint keeps an idle connection; None
         if the endpoint sent none.
     :param is_encoded: whether the body has a content encoding.
-    :param rate_limit: the limit that the endpoint names.
+    :param rate_limit: the limit that the endpoint advertises.
     :param leaving: whether the endpoint states that it leaves.
     :param retry_after: for how long the endpoint wants no requests.
     :param endpoint: the id of the endpoint that answers; "" if it sent none.
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -17,7 +17,7 @@
     warm_prompts,
 )
 
-# How long the end of a limit is told to peers: several rounds of messages,
+# How long the end of a limit is sent to peers: several rounds of messages,
 # also where instances take turns.
 REPORT_ENDED_LIMIT_SECONDS = 3.0
 
