--- a/review/standin/script.py
+++ b/review/standin/script.py
@@ -1,8 +1,8 @@
 """Runs a case: prepares, judges, cleans up, and chooses the exit status."""
 
+import argparse
 import asyncio
 import collections.abc
-import os
 import pathlib
 import sys
 import tempfile
@@ -19,8 +19,13 @@
     :param has_trouble: False for the same without the disruption.
     """
 
-    def __init__(self, directory: pathlib.Path, folder: pathlib.Path) -> None:
-        self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        folder: pathlib.Path,
+        has_trouble: bool,
+    ) -> None:
+        self.has_trouble = has_trouble
         self.recorder = record.Recorder(folder / "record.txt")
         self.store = store.Store()
         self.directory = directory
@@ -41,14 +46,15 @@
 
     :param play: returns whether the rule was broken.
     """
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--trouble", choices=("0", "1"), required=True)
+    has_trouble = parser.parse_args().trouble == "1"
     with tempfile.TemporaryDirectory() as directory:
-        sys.exit(asyncio.run(_run(folder, pathlib.Path(directory), play)))
+        bench = Bench(pathlib.Path(directory), folder, has_trouble)
+        sys.exit(asyncio.run(_run(bench, play)))
 
 
-async def _run(
-    folder: pathlib.Path, directory: pathlib.Path, play: Play
-) -> int:
-    bench = Bench(directory, folder)
+async def _run(bench: Bench, play: Play) -> int:
     status = NOT_RUN
     try:
         await bench.store.start()
