Count the attempts that are sent to each version during a roll-out

Callers saw: a bad version got more than its share of requests (EXPOSURE). Three hypotheses concern what is sent: that the schedule alone decides, that evidence is diluted, or that verdicts are late.

Each instance now counts attempts by version as it sends them, first ones and repeats apart, sends the counts to its peers with its evidence, and logs new_sent and requests in rollout_evidence and rollout_ended. Nothing decides on them yet. The message format is 9.

Tests: test_requests_and_repeats_count_when_they_are_sent, test_attempts_count_when_they_are_sent, the round trip of messages.

--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -226,6 +226,7 @@
         :raises exchange.AttemptError: there is no answer to pass on.
         """
         self._retry_policy.record_send(task, member)
+        self._versions.record_send(task, member)
         ticket = self._gate.begin_attempt(
             task, member, work_ms=member.health.duration_ms
         )
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -343,6 +343,7 @@
         owner._retry_policy.record_send(
             task, member, self._model, chosen.first_ms
         )
+        owner._versions.record_send(task, member)
         ticket = owner._gate.begin_attempt(
             task,
             member,
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -14,7 +14,7 @@
 
 # The first field of a message. Raise it with each change of the fields:
 # messages of instances of another release are ignored, not misread.
-MESSAGE_FORMAT = 8
+MESSAGE_FORMAT = 9
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -283,7 +283,13 @@
     evidence: rollout_state.EvidenceByVersion,
 ) -> dict[str, list[int]]:
     return {
-        version: [counts.good, counts.bad, counts.slow]
+        version: [
+            counts.good,
+            counts.bad,
+            counts.slow,
+            counts.requests,
+            counts.repeats,
+        ]
         for version, counts in evidence.items()
     }
 
@@ -487,6 +493,8 @@
     if not isinstance(row, dict):
         raise TypeError("evidence on a roll-out is not an object")
     return {
-        str(version): rollout_state.Evidence(int(good), int(bad), int(slow))
-        for version, (good, bad, slow) in row.items()
+        str(version): rollout_state.Evidence(
+            int(good), int(bad), int(slow), int(requests), int(repeats)
+        )
+        for version, (good, bad, slow, requests, repeats) in row.items()
     }
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -445,6 +445,14 @@
         )
         return target if hash_fraction < exposure else old
 
+    def record_send(self, task: job.Job, member: directory.Member) -> None:
+        """Count an attempt, just before it is sent to an endpoint."""
+        progress = self._find_running(task.service)
+        if progress is not None:
+            progress.find_evidence(member.entry.version).count_send(
+                is_repeat=task.sent > 0
+            )
+
     def record_answer(
         self,
         task: job.Job,
@@ -452,15 +460,19 @@
         sample: rollout_state.Sample,
     ) -> None:
         """Count an answer as evidence on its endpoint's version."""
-        progress = self._progress.get(task.service)
+        progress = self._find_running(task.service)
+        if progress is not None:
+            progress.find_evidence(member.entry.version).count(sample)
+            self.evaluate(progress)
+
+    def _find_running(self, service: str) -> rollout_progress.Progress | None:
+        """Return the progress of a service's order while it is running."""
+        progress = self._progress.get(service)
         if progress is None or (
             progress.stage is not rollout_state.Stage.RUNNING
         ):
-            return
-        progress.evidence.setdefault(
-            member.entry.version, rollout_state.Evidence()
-        ).count(sample)
-        self.evaluate(progress)
+            return None
+        return progress
 
     def evaluate(self, progress: rollout_progress.Progress) -> None:
         """Roll back on bad evidence, or complete when the time is over."""
@@ -533,6 +545,8 @@
         "old_good": old.good,
         "old_bad": old.bad,
         "old_slow": old.slow,
+        "new_sent": new.sent,
+        "requests": new.requests + old.requests,
     }
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -110,6 +110,10 @@
         for version, counts in evidence.items():
             known.setdefault(version, rollout_state.Evidence()).merge(counts)
 
+    def find_evidence(self, version: str) -> rollout_state.Evidence:
+        """Return this process's own counts on a version."""
+        return self.evidence.setdefault(version, rollout_state.Evidence())
+
     def list_inherited(
         self, turn: int
     ) -> dict[rollout_state.Start, rollout_state.EvidenceByVersion]:
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -77,17 +77,21 @@
 
 @dataclasses.dataclass(slots=True)
 class Evidence:
-    """Counts of a version's answers since the order.
+    """Counts of a version's answers and requests since the order.
 
     :param good: answers without an error.
     :param bad: errors of the version's endpoints.
     :param slow: answers that started late; each also counts as good unless it
         failed.
+    :param requests: requests whose first attempt was sent to the version.
+    :param repeats: further attempts that were sent to the version.
     """
 
     good: int = 0
     bad: int = 0
     slow: int = 0
+    requests: int = 0
+    repeats: int = 0
 
     @property
     def total(self) -> int:
@@ -99,6 +103,11 @@
         """The share of errors, 0 to 1; 0 before the first answer."""
         return self.bad / self.total if self.total else 0.0
 
+    @property
+    def sent(self) -> int:
+        """The number of all attempts."""
+        return self.requests + self.repeats
+
     @property
     def slow_share(self) -> float:
         """The share of late answers; 0 before the first answer."""
@@ -110,17 +119,29 @@
         self.bad += sample.is_failed
         self.slow += sample.is_slow
 
+    def count_send(self, is_repeat: bool) -> None:
+        """Add one attempt.
+
+        :param is_repeat: whether the request was sent before.
+        """
+        self.requests += not is_repeat
+        self.repeats += is_repeat
+
     def add(self, other: "Evidence") -> None:
         """Add another process's evidence."""
         self.good += other.good
         self.bad += other.bad
         self.slow += other.slow
+        self.requests += other.requests
+        self.repeats += other.repeats
 
     def merge(self, other: "Evidence") -> None:
         """Merge other counts of the same process; its counts only rise."""
         self.good = max(self.good, other.good)
         self.bad = max(self.bad, other.bad)
         self.slow = max(self.slow, other.slow)
+        self.requests = max(self.requests, other.requests)
+        self.repeats = max(self.repeats, other.repeats)
 
 
 # The evidence of one start, by version.
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -39,7 +39,7 @@
                 rollout_state.Stage.RUNNING,
                 store.Position(1, 4),
             ),
-            {"v2": rollout_state.Evidence(4, 1, 2)},
+            {"v2": rollout_state.Evidence(4, 1, 2, 6, 3)},
             1.75,
             {
                 rollout_state.Start("router-3", 7): {
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -313,6 +313,19 @@
     assert stage is rollout_state.Stage.ROLLED_BACK
 
 
+def test_requests_and_repeats_count_when_they_are_sent(
+    harness: RolloutHarness,
+) -> None:
+    first, again = make_job("r-1"), make_job("r-2")
+    again.sent = 1
+    harness.rollouts.record_send(first, harness.members[0])
+    harness.rollouts.record_send(first, harness.members[-1])
+    harness.rollouts.record_send(again, harness.members[-1])
+    new, old = harness.rollouts.progress["engine"].sum_evidence()
+    assert (new.requests, new.repeats, new.sent) == (1, 1, 2)
+    assert (old.requests, old.repeats, old.total) == (1, 0, 0)
+
+
 def test_the_status_of_another_order_is_ignored(
     harness: RolloutHarness,
 ) -> None:
--- a/tests/router/test_rollout_plain.py
+++ b/tests/router/test_rollout_plain.py
@@ -87,6 +87,26 @@
     assert count_runs(new) == before
 
 
+async def test_attempts_count_when_they_are_sent(fleet: support.Fleet) -> None:
+    new = await start(fleet)
+    await order(fleet)
+    for number in range(60):
+        await fleet.call("GET", support.SAFE_PATH, identity=f"get-{number}")
+    line = await asyncio.wait_for(_read_evidence(fleet, requests=60), 5.0)
+    assert line["new_sent"] == count_runs(new) > 0
+
+
+async def _read_evidence(
+    fleet: support.Fleet, requests: int
+) -> dict[str, object]:
+    """Wait for a line on the evidence that counts some requests."""
+    while True:
+        for event, fields in fleet.log.lines:
+            if event == "rollout_evidence" and fields["requests"] == requests:
+                return fields
+        await asyncio.sleep(0.01)
+
+
 async def test_a_slow_version_of_a_plain_service_is_rolled_back(
     fleet: support.Fleet,
 ) -> None:
