Bound the exposure of a version on trial by what is sent

The bound held only if the version showed itself bad before. A version that turns bad late, or under load only, does not.

Change: all instances count the attempts that they send and report them. Until the handover a version gets up to half of what the bound allows for the requests so far. The handover, from which all requests go to it, is decided once the bound covers all that follows until the end of the time at the present rate and a rise by 0.3; it is announced 0.6 s ahead, so that all instances begin together. The version is completed as late as the time for writing the status allows, and only while what follows is covered: once the old endpoints have stopped, nothing can be taken back. The bound now holds by construction, not by the evidence's speed.

Replaced: the test that the exposure up to the ramp stays within the bound now looks at the whole time of the trial.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -155,7 +155,7 @@
             rollout_state.Start(settings.name, time.time_ns() // 1_000_000),
             self._operator.copy,
             records,
-            settings.bounds.exposure_share,
+            settings.bounds.exposure,
             log,
             self._members.list_withheld_versions,
         )
@@ -469,7 +469,7 @@
         self._settings = settings
         bounds = settings.bounds
         self._retry_policy.set_bounds(bounds.retry_budget)
-        self._rollouts.set_exposure_bound(bounds.exposure_share)
+        self._rollouts.set_exposure_bounds(bounds.exposure)
         self._cold_rules.set_bounds(bounds.cold)
         self._stream.set_credits(settings.credits_)
         self._speeds.is_enabled = settings.learns_speeds
--- /dev/null
+++ b/packages/wagtailstream-router/wagtailstream_router/exposure.py
@@ -0,0 +1,87 @@
+"""How many requests a version on trial may get, and from when it gets all."""
+
+import dataclasses
+
+# The part of the bound that is used. The rest covers what peers have sent
+# since their last reports, and traffic that rises after the handover.
+USABLE_PART = 0.9
+# The part of the bound that may be used once the version is handed over, if
+# more requests come than were expected.
+FINAL_PART = 0.97
+# The part of what may be used that requests get before the handover; the rest
+# is kept for the handover, in which the version bears its full load.
+TRIAL_PART = 0.5
+# Fraction of the order's duration before which no handover takes place: until
+# then answers to few requests may still show that the version is bad.
+HANDOVER_FROM = 0.85
+# How far the rate of requests may rise after a handover was decided.
+SURGE_FACTOR = 1.3
+# Seconds from the decision on a handover to its start: time for three reports
+# to each peer, so that all instances start in the same moment.
+HANDOVER_LEAD_SECONDS = 0.6
+# A good version is completed as late as its time allows, as the old endpoints
+# stop then: at this fraction of the order's duration, but at least
+# COMPLETION_SECONDS before its end, which two attempts to write the status
+# take.
+COMPLETE_AT = 0.97
+COMPLETION_SECONDS = 0.5
+# The least part of the order's duration that a trial takes.
+MIN_TRIAL_PART = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExposureBounds:
+    """The most requests that a bad version may get in its order's time.
+
+    :param share: their share of all requests of the service, 0 to 1.
+    :param slack: further requests.
+    """
+
+    share: float
+    slack: float
+
+    def limit(self, requests: float) -> float:
+        """Return how many requests may be sent to a version on trial.
+
+        :param requests: the requests of the service since the order.
+        """
+        return USABLE_PART * (self.share * requests + self.slack)
+
+    def final_limit(self, requests: float) -> float:
+        """Return how many may be sent to it after the handover."""
+        return FINAL_PART * (self.share * requests + self.slack)
+
+    def trial_limit(self, requests: float) -> float:
+        """Return how many may be sent to it before the handover."""
+        return TRIAL_PART * self.limit(requests)
+
+
+def completion_seconds(duration_seconds: float) -> float:
+    """Return the time from an order to the completion of a good version."""
+    latest = min(
+        COMPLETE_AT * duration_seconds, duration_seconds - COMPLETION_SECONDS
+    )
+    return max(latest, MIN_TRIAL_PART * duration_seconds)
+
+
+def may_hand_over(
+    bounds: ExposureBounds,
+    requests: float,
+    sent: float,
+    per_second: float,
+    seconds_left: float,
+) -> bool:
+    """Return whether the bound holds if a handover is decided now.
+
+    All requests from its start to the end of the order's time go to the new
+    version then.
+
+    :param requests: the requests of the service since the order.
+    :param sent: the attempts of those that were sent to the new version.
+    :param per_second: the rate of the service's requests.
+    :param seconds_left: the time until the end of the order's time.
+    """
+    exposed_seconds = max(0.0, seconds_left - HANDOVER_LEAD_SECONDS)
+    return sent + SURGE_FACTOR * per_second * exposed_seconds <= bounds.limit(
+        requests + per_second * seconds_left
+    )
--- a/packages/wagtailstream-router/wagtailstream_router/node.py
+++ b/packages/wagtailstream-router/wagtailstream_router/node.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from wagtailstream_router import retry_budget
+from wagtailstream_router import exposure, retry_budget
 from wagtailstream_router.admission import bounds as admission_bounds
 from wagtailstream_router.cascade import worth
 from wagtailstream_router.flow import bounds as buffer_bounds
@@ -15,15 +15,14 @@
 
     :param grace_seconds: the time from SIGTERM to SIGKILL.
     :param drain_seconds: how long a draining endpoint still serves.
-    :param exposure_share: the largest share of requests, 0 to 1, that a bad
-        version may get.
+    :param exposure: the most requests that a bad version may get.
     :param cold: how far the rate of a cold endpoint may be exceeded; None if
         the deployment has no rule on cold endpoints.
     """
 
     grace_seconds: float
     drain_seconds: float
-    exposure_share: float
+    exposure: exposure.ExposureBounds
     retry_budget: retry_budget.BudgetBounds
     cold: cold_start.ColdBounds | None = None
 
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -48,6 +48,8 @@
     :param age_seconds: the time since the order came; None if no instance
         that this one heard from saw it come.
     :param inherited: the evidence of starts that may have ended.
+    :param handover_in_seconds: the time until all requests go to the new
+        version, negative if they do; None while it is on trial.
     """
 
     status: rollout_state.Status
@@ -56,6 +58,7 @@
     inherited: dict[rollout_state.Start, rollout_state.EvidenceByVersion] = (
         dataclasses.field(default_factory=dict)
     )
+    handover_in_seconds: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -276,6 +279,7 @@
             [start.name, start.boot, _encode_evidence(evidence)]
             for start, evidence in report.inherited.items()
         ],
+        report.handover_in_seconds,
     ]
 
 
@@ -471,6 +475,7 @@
         age_seconds,
         evidence,
         inherited,
+        handover_in_seconds,
     ) = row
     status = rollout_state.Status(
         str(service),
@@ -486,6 +491,7 @@
             rollout_state.Start(str(name), int(boot)): _decode_evidence(counts)
             for name, boot, counts in inherited
         },
+        None if handover_in_seconds is None else float(handover_in_seconds),
     )
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -9,11 +9,13 @@
 from wagtailstream_router import (
     directory,
     event_log,
+    exposure,
     job,
     peer_report,
     replica,
     rollout_progress,
     rollout_state,
+    rollout_trend,
     store,
     wire,
 )
@@ -30,8 +32,7 @@
     :param start: this start of the instance.
     :param operator: the replica of the operator's topic.
     :param codec: decodes orders.
-    :param exposure_bound: the largest share of requests, 0 to 1, that a bad
-        version may get.
+    :param bounds: the most requests that a bad version may get.
     :param list_withheld: returns the versions of a service whose endpoints
         are all in emptied data centres.
     """
@@ -41,7 +42,7 @@
         start: rollout_state.Start,
         operator: replica.Replica,
         codec: wire.RecordCodec,
-        exposure_bound: float,
+        bounds: exposure.ExposureBounds,
         log: event_log.EventLog,
         list_withheld: collections.abc.Callable[
             [str], collections.abc.Set[str]
@@ -51,7 +52,7 @@
         self._list_withheld = list_withheld
         self._operator = operator
         self._codec = codec
-        self._exposure_bound = exposure_bound
+        self._bounds = bounds
         self._log = log
         self._seen_change = -1
         self._was_loaded = False
@@ -59,7 +60,7 @@
         self._progress: dict[str, rollout_progress.Progress] = {}
         self._superseded: dict[str, set[str]] = {}
         self._seen_versions: dict[str, list[str]] = {}
-        self._logged_evidence: dict[str, rollout_progress.Totals] = {}
+        self._logged_evidence: dict[str, rollout_trend.Totals] = {}
         self._evidence_log_due = float("-inf")
 
     @property
@@ -72,9 +73,9 @@
         """The newest order of each service."""
         return self._progress
 
-    def set_exposure_bound(self, exposure_bound: float) -> None:
-        """Replace the exposure bound."""
-        self._exposure_bound = exposure_bound
+    def set_exposure_bounds(self, bounds: exposure.ExposureBounds) -> None:
+        """Replace the bounds of the exposure."""
+        self._bounds = bounds
 
     def refresh(self) -> None:
         """Apply new orders of the operator's topic."""
@@ -211,6 +212,10 @@
             progress.merge_start(
                 time.monotonic() - report.age_seconds, is_witnessed=True
             )
+        if report.handover_in_seconds is not None:
+            progress.merge_handover(
+                time.monotonic() + report.handover_in_seconds
+            )
         self.merge_status(report.status)
         self.evaluate(progress)
 
@@ -227,6 +232,9 @@
                 progress.evidence,
                 progress.age_seconds if progress.is_start_witnessed else None,
                 progress.list_inherited(turn),
+                None
+                if progress.handover_at is None
+                else progress.handover_at - time.monotonic(),
             )
             for progress in self._progress.values()
         )
@@ -304,14 +312,12 @@
             if member.entry.version == progress.order.target
             and member not in settled
         ]
-        exposure = rollout_state.exposure_at(
-            progress.elapsed_share, self._exposure_bound, has_session=True
-        )
-        if exposure <= 0.0:
-            return settled
-        if exposure >= 1.0 and target:
+        if progress.is_handed_over and target:
             return target
-        return settled + target[: math.ceil(exposure * len(target))]
+        share = rollout_state.exposure_at(
+            progress.elapsed_share, self._bounds.share, has_session=True
+        )
+        return settled + target[: math.ceil(share * len(target))]
 
     def _log_choice(self, task: job.Job, version: str) -> None:
         """Log a request's version and what decided it, during a roll-out.
@@ -341,12 +347,31 @@
     ) -> float:
         if not progress.is_verdict_known:
             return 0.0
+        if progress.is_handed_over:
+            return 1.0
         return rollout_state.exposure_at(
             progress.elapsed_share,
-            self._exposure_bound,
+            self._bounds.share,
             has_session=bool(task.call.session),
         )
 
+    def _has_allowance(
+        self, task: job.Job, progress: rollout_progress.Progress
+    ) -> bool:
+        """Return whether one more request may go to a version on trial.
+
+        A session that has moved stays within a wider limit.
+        """
+        new, old = progress.sum_evidence()
+        requests = new.requests + old.requests
+        if progress.is_handed_over:
+            limit = self._bounds.final_limit(requests)
+        elif task.call.session:
+            limit = self._bounds.limit(requests)
+        else:
+            limit = self._bounds.trial_limit(requests)
+        return new.sent + 1 <= limit
+
     def _limit_exposed(
         self, task: job.Job, version: str, members: list[directory.Member]
     ) -> list[directory.Member]:
@@ -433,8 +458,10 @@
         self, task: job.Job, progress: rollout_progress.Progress, old: str
     ) -> str:
         target = progress.order.target
-        exposure = self._exposure_of(task, progress)
-        if exposure >= 1.0:
+        share = self._exposure_of(task, progress)
+        if not self._has_allowance(task, progress):
+            return old
+        if share >= 1.0:
             return target
         # Requests with the same shared prompt part move together, so that
         # the new version's servers prefill each shared part only once.
@@ -443,7 +470,7 @@
         hash_fraction = (
             xxhash.xxh32_intdigest(f"{target}|{name}".encode()) / 2**32
         )
-        return target if hash_fraction < exposure else old
+        return target if hash_fraction < share else old
 
     def record_send(self, task: job.Job, member: directory.Member) -> None:
         """Count an attempt, just before it is sent to an endpoint."""
@@ -475,20 +502,75 @@
         return progress
 
     def evaluate(self, progress: rollout_progress.Progress) -> None:
-        """Roll back on bad evidence, or complete when the time is over."""
+        """Roll back on bad evidence, or take the next step when it is due."""
         if progress.stage is not rollout_state.Stage.RUNNING:
             return
-        new, old = progress.sum_evidence()
+        totals = progress.sum_evidence()
+        progress.trend.record(time.monotonic(), totals)
+        new, old = totals
         if rollout_state.is_bad(new, old):
             self._end(progress, rollout_state.Stage.ROLLED_BACK, "evidence")
         elif (
-            progress.elapsed_share >= rollout_state.COMPLETE_AT
-            and new.total
+            progress.elapsed_share < exposure.HANDOVER_FROM
             # The old endpoints stop once it is completed.
-            and progress.order.target
-            not in self._list_withheld(progress.order.service)
+            or progress.order.target
+            in self._list_withheld(progress.order.service)
         ):
+            return
+        elif self._may_complete(progress, totals):
             self._end(progress, rollout_state.Stage.COMPLETED, "time")
+        elif progress.handover_at is None:
+            self._decide_handover(progress, totals)
+
+    def _may_complete(
+        self,
+        progress: rollout_progress.Progress,
+        totals: rollout_trend.Totals,
+    ) -> bool:
+        """Return whether a version without bad evidence may be completed."""
+        new, old = totals
+        due_seconds = exposure.completion_seconds(
+            progress.order.duration_seconds
+        )
+        if progress.age_seconds < due_seconds or not new.total:
+            return False
+        further = progress.seconds_left * progress.trend.requests_per_second(
+            time.monotonic(), totals
+        )
+        return new.sent + further <= self._bounds.final_limit(
+            new.requests + old.requests + further
+        )
+
+    def _decide_handover(
+        self,
+        progress: rollout_progress.Progress,
+        totals: rollout_trend.Totals,
+    ) -> None:
+        """Hand the service over if the bound covers all that follows."""
+        now = time.monotonic()
+        new, old = totals
+        requests = new.requests + old.requests
+        per_second = progress.trend.requests_per_second(now, totals)
+        if not exposure.may_hand_over(
+            self._bounds,
+            requests,
+            new.sent,
+            per_second,
+            progress.seconds_left,
+        ):
+            return
+        progress.merge_handover(now + exposure.HANDOVER_LEAD_SECONDS)
+        self._log.write(
+            "rollout_handover",
+            service=progress.order.service,
+            target=progress.order.target,
+            order=progress.position.offset,
+            elapsed_share=round(progress.elapsed_share, 3),
+            starts_in_ms=round(exposure.HANDOVER_LEAD_SECONDS * 1000.0),
+            per_second=round(per_second, 1),
+            limit=round(self._bounds.limit(requests), 1),
+            **_describe(totals),
+        )
 
     def log_evidence(self) -> None:
         """Log the evidence of running roll-outs that has changed."""
@@ -535,7 +617,7 @@
         )
 
 
-def _describe(totals: rollout_progress.Totals) -> dict[str, int]:
+def _describe(totals: rollout_trend.Totals) -> dict[str, int]:
     """Return the counts on both versions as fields of a log line."""
     new, old = totals
     return {
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -1,17 +1,21 @@
 """The state of one roll-out order in this process."""
 
+import collections.abc
 import dataclasses
 import time
 
-from wagtailstream_router import rollout_state, rotation, store
+from wagtailstream_router import (
+    rollout_state,
+    rollout_trend,
+    rotation,
+    store,
+)
 
 # A start that did not tell its evidence for this long may have ended; others
 # pass it on from then on. Instances tell theirs about five times a second.
 PASS_ON_SECONDS = 1.0
 # Starts whose evidence one message passes on, so that its size stays bounded.
 MAX_INHERITED = 8
-# The evidence on the new version, and that on all others.
-Totals = tuple[rollout_state.Evidence, rollout_state.Evidence]
 
 
 @dataclasses.dataclass
@@ -27,6 +31,10 @@
     :param is_announced: whether any status was in the status topic.
     :param evidence: this process's evidence.
     :param peer_evidence: the evidence of other starts, also of ended ones.
+    :param peer_totals: the sums of those; None if they have changed.
+    :param handover_at: when all requests go to the new version, by the
+        monotonic clock; None while it is on trial.
+    :param trend: recent sums of the evidence.
     :param heard_at: when each start last told its own evidence, by the
         monotonic clock.
     """
@@ -44,6 +52,11 @@
     peer_evidence: dict[
         rollout_state.Start, rollout_state.EvidenceByVersion
     ] = dataclasses.field(default_factory=dict)
+    peer_totals: rollout_trend.Totals | None = None
+    handover_at: float | None = None
+    trend: rollout_trend.Trend = dataclasses.field(
+        default_factory=rollout_trend.Trend
+    )
     heard_at: dict[rollout_state.Start, float] = dataclasses.field(
         default_factory=dict
     )
@@ -81,6 +94,19 @@
         """The time since the order came."""
         return time.monotonic() - self.started_at
 
+    @property
+    def seconds_left(self) -> float:
+        """The time until the end of the order's time; 0 after it."""
+        return max(0.0, self.order.duration_seconds - self.age_seconds)
+
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether all requests go to the new version."""
+        return (
+            self.handover_at is not None
+            and time.monotonic() >= self.handover_at
+        )
+
     @property
     def elapsed_share(self) -> float:
         """The elapsed time as a fraction of the order's duration."""
@@ -100,12 +126,21 @@
             self.started_at = started_at
             self.is_start_witnessed = True
 
+    def merge_handover(self, handover_at: float) -> None:
+        """Merge the time of a handover: the earliest that was decided.
+
+        :param handover_at: the time, by the monotonic clock.
+        """
+        if self.handover_at is None or handover_at < self.handover_at:
+            self.handover_at = handover_at
+
     def merge_evidence(
         self,
         start: rollout_state.Start,
         evidence: rollout_state.EvidenceByVersion,
     ) -> None:
         """Merge the evidence of another start, from itself or passed on."""
+        self.peer_totals = None
         known = self.peer_evidence.setdefault(start, {})
         for version, counts in evidence.items():
             known.setdefault(version, rollout_state.Evidence()).merge(counts)
@@ -133,11 +168,21 @@
             for start in rotation.round_robin(silent, MAX_INHERITED, turn)
         }
 
-    def sum_evidence(self) -> Totals:
+    def sum_evidence(self) -> rollout_trend.Totals:
         """Return the evidence on the new version and on all others."""
+        if self.peer_totals is None:
+            self.peer_totals = self._sum(self.peer_evidence.values())
+        totals = self._sum([self.evidence])
+        for total, of_peers in zip(totals, self.peer_totals, strict=True):
+            total.add(of_peers)
+        return totals
+
+    def _sum(
+        self, counts: collections.abc.Iterable[rollout_state.EvidenceByVersion]
+    ) -> rollout_trend.Totals:
         new = rollout_state.Evidence()
         old = rollout_state.Evidence()
-        for by_version in (self.evidence, *self.peer_evidence.values()):
+        for by_version in counts:
             for version, evidence in by_version.items():
                 (new if version == self.order.target else old).add(evidence)
         return new, old
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -135,6 +135,20 @@
         self.requests += other.requests
         self.repeats += other.repeats
 
+    def copy(self) -> "Evidence":
+        """Return a copy that later counts do not change."""
+        return dataclasses.replace(self)
+
+    def minus(self, before: "Evidence") -> "Evidence":
+        """Return what was counted since an earlier copy."""
+        return Evidence(
+            self.good - before.good,
+            self.bad - before.bad,
+            self.slow - before.slow,
+            self.requests - before.requests,
+            self.repeats - before.repeats,
+        )
+
     def merge(self, other: "Evidence") -> None:
         """Merge other counts of the same process; its counts only rise."""
         self.good = max(self.good, other.good)
@@ -184,19 +198,9 @@
 # instance may read the order before the operator's confirmation, from which
 # the users count.
 SESSIONS_MOVE_AT = 0.5 + 0.02
-# Fractions between which the exposure rises to 1; the gradual rise lets the
-# new servers' caches warm up. Until RAMP_START the new version is on trial.
-RAMP_START = 0.65
-RAMP_END = 0.8
-# The exposure of requests without a session before SESSIONS_MOVE_AT, as a
-# fraction of the exposure bound.
-FIRST_EXPOSURE = 0.9
-# The exposure from SESSIONS_MOVE_AT to RAMP_START, as a multiple of the bound:
-# the bound applies to the whole duration, of which the trial is a small part.
-TRIAL_EXPOSURE = 2.0
-# Fraction of the order's duration after which a version without bad evidence
-# is completed: the last streams of the old servers have ended by then.
-COMPLETE_AT = 0.9
+# The part of the exposure bound that requests get before the handover to the
+# new version.
+TRIAL_EXPOSURE = 0.9
 
 
 def is_bad(new: Evidence, old: Evidence) -> bool:
@@ -252,7 +256,7 @@
 def exposure_at(
     elapsed_share: float, exposure_bound: float, has_session: bool
 ) -> float:
-    """Return the share of requests, 0 to 1, for the new version.
+    """Return the share of requests, 0 to 1, for a version on trial.
 
     It never falls as the time passes, so that a session that has moved stays.
 
@@ -263,13 +267,9 @@
         session is older than the order; so all sessions stay on the old
         version until they may move.
     """
-    if elapsed_share < SESSIONS_MOVE_AT:
-        return 0.0 if has_session else exposure_bound * FIRST_EXPOSURE
-    trial = min(1.0, exposure_bound * TRIAL_EXPOSURE)
-    if elapsed_share <= RAMP_START:
-        return trial
-    risen = (elapsed_share - RAMP_START) / (RAMP_END - RAMP_START)
-    return min(1.0, trial + risen * (1.0 - trial))
+    if has_session and elapsed_share < SESSIONS_MOVE_AT:
+        return 0.0
+    return min(1.0, exposure_bound * TRIAL_EXPOSURE)
 
 
 def count_exposed(exposure: float, server_count: int) -> int:
--- a/standins/router_process.py
+++ b/standins/router_process.py
@@ -25,6 +25,7 @@
 gracePeriodS = 4
 drainTimeoutMs = 2000
 exposureShare = 0.15
+exposureSlack = 30
 retryBudgetRatio = 0.9
 retryWindowS = 10
 retryBudgetSlack = 200
--- a/tests/router/support.py
+++ b/tests/router/support.py
@@ -12,6 +12,7 @@
     app,
     configuration,
     event_log,
+    exposure,
     metrics,
     node,
     reply,
@@ -303,7 +304,7 @@
         bounds=node.Bounds(
             grace_seconds=1.0,
             drain_seconds=2.0,
-            exposure_share=0.15,
+            exposure=exposure.ExposureBounds(0.15, 30),
             retry_budget=retry_budget.BudgetBounds(0.9, 10.0, slack),
             cold=cold_start.ColdBounds(1.5, 5.0),
         ),
--- a/tests/router/test_decisions.py
+++ b/tests/router/test_decisions.py
@@ -203,13 +203,13 @@
 
 
 @hypothesis.given(st.floats(0.0, 0.3), st.booleans())
-def test_the_exposure_up_to_the_ramp_stays_within_the_bound(
+def test_the_exposure_of_a_trial_stays_within_the_bound_all_the_time(
     bound: float, has_session: bool
 ) -> None:
     steps = 200
     exposed = sum(
         rollout_state.exposure_at(step / steps, bound, has_session)
-        for step in range(round(rollout_state.RAMP_START * steps))
+        for step in range(steps)
     )
     assert exposed / steps <= bound
 
--- /dev/null
+++ b/tests/router/test_exposure.py
@@ -0,0 +1,89 @@
+"""The exposure of a version is bounded by what is sent, not by verdicts."""
+
+import collections.abc
+
+import pytest
+
+from tests.router import rollout_play
+from wagtailstream_router import rollout_state
+
+SEEDS = range(41, 47)
+
+
+def constant(per_second: float) -> collections.abc.Callable[[float], float]:
+    return lambda now: per_second
+
+
+def burst(now: float) -> float:
+    return 28.0 if now > 0.2 * 18.0 else 7.5
+
+
+def fail_late(
+    since: float,
+) -> collections.abc.Callable[[str, float, int], float]:
+    return lambda version, now, load: (
+        0.4 if version == rollout_play.NEW and now >= since else 0.05
+    )
+
+
+def fail_under_load(version: str, now: float, load: int) -> float:
+    return 0.12 if version == rollout_play.NEW and load > 20 else 0.05
+
+
+def never_fail(version: str, now: float, load: int) -> float:
+    return 0.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("session_count", [0, 60])
+@pytest.mark.parametrize("rate", [7.5, 28.0, 200.0])
+async def test_a_version_that_turns_bad_late_gets_no_more_than_its_share(
+    rate: float,
+    session_count: int,
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    day = rollout_play.Day(
+        constant(rate),
+        fail_late(since=14.5),
+        seed,
+        session_count=session_count,
+    )
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    assert outcome.exposed <= outcome.allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_a_version_that_is_bad_under_load_gets_no_more_than_its_share(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    day = rollout_play.Day(burst, fail_under_load, seed)
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    assert outcome.exposed <= outcome.allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("session_count", [0, 60])
+@pytest.mark.parametrize("rate", [7.5, 28.0, 200.0])
+async def test_a_good_version_is_completed_in_its_time(
+    rate: float,
+    session_count: int,
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    day = rollout_play.Day(
+        constant(rate), never_fail, seed, session_count=session_count
+    )
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    completed_at = outcome.written_at[rollout_state.Stage.COMPLETED]
+    assert completed_at <= day.seconds
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_a_good_version_beside_a_burst_is_completed_in_its_time(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    day = rollout_play.Day(burst, fail_late(since=1e9), seed)
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    completed_at = outcome.written_at[rollout_state.Stage.COMPLETED]
+    assert completed_at <= day.seconds
--- a/tests/router/test_node_file.py
+++ b/tests/router/test_node_file.py
@@ -23,6 +23,7 @@
 gracePeriodS = 8
 drainTimeoutMs = 2000
 exposureShare = 0.15
+exposureSlack = 30
 retryBudgetRatio = 0.9
 retryWindowS = 10
 retryBudgetSlack = 56
@@ -67,6 +68,7 @@
         ('zone = "zone-1"', "zone = 3", "zone"),
         ("gracePeriodS = 8", 'gracePeriodS = "8"', "bounds.gracePeriodS"),
         ("exposureShare = 0.15", "", "bounds.exposureShare"),
+        ("exposureSlack = 30", "", "bounds.exposureSlack"),
         ("[7340, 7355]", '["a"]', "internalPortRange"),
         ('address = "10.200.1.7:8223"', "", "platform.address"),
         ("[listen]", "[listen", "node.toml"),
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -14,6 +14,7 @@
     directory,
     errors,
     event_log,
+    exposure,
     job,
     peer_report,
     replica,
@@ -26,6 +27,7 @@
 CODEC = records.PlatformRecords()
 FAILED = rollout_state.Sample(is_failed=True)
 GOOD = rollout_state.Sample()
+BOUNDS = exposure.ExposureBounds(0.15, 30)
 OWN_START = rollout_state.Start("router-1", 1)
 
 
@@ -85,7 +87,7 @@
     copy = replica.Replica()
     copy.reset(store.Page((), 0), time.monotonic())
     log = event_log.MemoryEventLog()
-    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, BOUNDS, log)
     members = [make_member(f"old-{number}", "v1") for number in range(4)]
     harness = RolloutHarness(copy, rollouts, members, log)
     assert set(harness.choose_versions(3)) == {"v1"}
@@ -267,7 +269,7 @@
     copy.reset(store.Page((), 0), time.monotonic())
     log = event_log.MemoryEventLog()
     start = rollout_state.Start(name, boot)
-    rollouts = rollout.Rollouts(start, copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(start, copy, CODEC, BOUNDS, log)
     instance = RolloutHarness(copy, rollouts, members, log)
     instance.order("v2")
     return instance
@@ -388,7 +390,7 @@
     await make_status_writer(harness, topic).step()
     copy = replica.Replica()
     log = event_log.MemoryEventLog()
-    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, BOUNDS, log)
     successor = RolloutHarness(copy, rollouts, harness.members, log)
     successor.order("v2")
     await make_status_writer(successor, topic).step()
@@ -403,7 +405,7 @@
     topic = store.MemoryTopic("status")
     copy = replica.Replica()
     log = event_log.MemoryEventLog()
-    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, 0.15, log)
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, BOUNDS, log)
     successor = RolloutHarness(copy, rollouts, make_harness().members, log)
     successor.order("v2")
     assert set(successor.choose_versions(100)) == {"v1"}
--- a/tests/router/test_store_era.py
+++ b/tests/router/test_store_era.py
@@ -16,6 +16,7 @@
     active_configuration,
     directory,
     event_log,
+    exposure,
     follower,
     metrics,
     replica,
@@ -84,7 +85,11 @@
         for topic in (topics.operator, topics.endpoints)
     )
     rollouts = rollout.Rollouts(
-        rollout_state.Start(name, 1), operator.copy, CODEC, 0.15, log
+        rollout_state.Start(name, 1),
+        operator.copy,
+        CODEC,
+        exposure.ExposureBounds(0.15, 30),
+        log,
     )
     return Instance(
         operator,
