Judge a version on trial by its recent answers too

Change: the answers of the last one and three seconds are compared by themselves, at a stricter level, with the old version's; its recent rate counts if that is higher, so that trouble of all endpoints is no verdict. Recent answers that are only unlikely hold back the handover and the completion.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -508,10 +508,22 @@
         totals = progress.sum_evidence()
         progress.trend.record(time.monotonic(), totals)
         new, old = totals
+        recent = progress.trend.list_recent(time.monotonic(), totals)
         if rollout_state.is_bad(new, old):
             self._end(progress, rollout_state.Stage.ROLLED_BACK, "evidence")
+        elif any(
+            rollout_state.is_bad_lately(recent_new, old, recent_old)
+            for recent_new, recent_old in recent
+        ):
+            self._end(
+                progress, rollout_state.Stage.ROLLED_BACK, "recent_evidence"
+            )
         elif (
             progress.elapsed_share < exposure.HANDOVER_FROM
+            or any(
+                rollout_state.is_suspect(recent_new, old, recent_old)
+                for recent_new, recent_old in recent
+            )
             # The old endpoints stop once it is completed.
             or progress.order.target
             in self._list_withheld(progress.order.service)
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -181,6 +181,13 @@
 # than this at the old version's rate. Rolling back a good version breaks a
 # requirement; keeping a bad one breaks the bound on its exposure.
 SIGNIFICANCE_LEVEL = 0.01
+# The same for the recent answers alone. It is stricter, as each moment of the
+# order's time brings other recent answers.
+RECENT_LEVEL = 0.002
+# Likelihood at the old version's rate below which recent errors hold back the
+# next step, and the fewest of them.
+SUSPICION_LEVEL = 0.1
+MIN_SUSPECT_ANSWERS = 2
 # Lower bound for the old version's assumed rate of errors.
 MIN_RATE = 0.004
 # Lower bound for the old version's assumed rate of late answers.
@@ -211,13 +218,66 @@
     :param new: the evidence on the new version.
     :param old: the evidence on all other versions.
     """
-    failing_rate = max(MIN_RATE, RATE_FACTOR * old.bad_share)
-    late_rate = max(
-        MIN_SLOW_RATE, _multiply_odds(old.slow_share, SLOW_ODDS_FACTOR)
-    )
-    return _is_worse(new.bad, new.total, failing_rate) or _is_worse(
-        new.slow, new.total, late_rate
-    )
+    return _has_faults(new, _Rates.of(old), SIGNIFICANCE_LEVEL)
+
+
+def is_bad_lately(
+    recent_new: Evidence, old: Evidence, recent_old: Evidence
+) -> bool:
+    """Return whether the new version's recent answers alone make it bad.
+
+    :param recent_new: the recent evidence on the new version.
+    :param old: all evidence on all other versions.
+    :param recent_old: its recent part, which shows trouble that is not the
+        new version's.
+    """
+    rates = _Rates.of(old).raise_to(_Rates.of(recent_old))
+    return _has_faults(recent_new, rates, RECENT_LEVEL)
+
+
+def is_suspect(
+    recent_new: Evidence, old: Evidence, recent_old: Evidence
+) -> bool:
+    """Return whether the new version's recent answers forbid more exposure.
+
+    The parameters are those of `is_bad_lately`.
+    """
+    rates = _Rates.of(old).raise_to(_Rates.of(recent_old))
+    return _has_faults(recent_new, rates, SUSPICION_LEVEL, MIN_SUSPECT_ANSWERS)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rates:
+    """The highest rates of faulty answers that a sound version may have."""
+
+    failing: float
+    late: float
+
+    @classmethod
+    def of(cls, old: Evidence) -> "_Rates":
+        return cls(
+            max(MIN_RATE, RATE_FACTOR * old.bad_share),
+            max(
+                MIN_SLOW_RATE, _multiply_odds(old.slow_share, SLOW_ODDS_FACTOR)
+            ),
+        )
+
+    def raise_to(self, other: "_Rates") -> "_Rates":
+        """Return the higher one of each rate."""
+        return _Rates(
+            max(self.failing, other.failing), max(self.late, other.late)
+        )
+
+
+def _has_faults(
+    new: Evidence,
+    rates: _Rates,
+    level: float,
+    least: int = MIN_FAULTY_ANSWERS,
+) -> bool:
+    return _is_worse(
+        new.bad, new.total, rates.failing, level, least
+    ) or _is_worse(new.slow, new.total, rates.late, level, least)
 
 
 def _multiply_odds(chance: float, factor: float) -> float:
@@ -225,11 +285,13 @@
     return factor * chance / (1.0 - chance + factor * chance)
 
 
-def _is_worse(count: int, total: int, rate: float) -> bool:
+def _is_worse(
+    count: int, total: int, rate: float, level: float, least: int
+) -> bool:
     # Skips the sum for counts that are not above the expected value.
-    if count < MIN_FAULTY_ANSWERS or count <= rate * total:
+    if count < least or count <= rate * total:
         return False
-    return binomial_tail(count, total, rate) < SIGNIFICANCE_LEVEL
+    return binomial_tail(count, total, rate) < level
 
 
 def binomial_tail(failures: int, total: int, rate: float) -> float:
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_trend.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_trend.py
@@ -1,10 +1,11 @@
-"""The recent rate of requests during a roll-out."""
+"""The recent part of a roll-out's evidence, and its rate of requests."""
 
 import collections
 
 from wagtailstream_router import rollout_state
 
-# The spans over which the rate is measured; the highest one counts.
+# The spans of evidence that are looked at by themselves: the short one shows
+# a change soon, the long one shows a smaller change.
 RECENT_SECONDS = (1.0, 3.0)
 # Shortest time between two samples; it bounds their number.
 SAMPLE_SECONDS = 0.1
@@ -14,7 +15,10 @@
 
 
 class Trend:
-    """Samples of the evidence's sums over the last seconds."""
+    """Samples of the evidence's sums over the last seconds.
+
+    Answers from before the samples do not hide that a version turns bad.
+    """
 
     def __init__(self) -> None:
         self._samples: collections.deque[tuple[float, Totals]] = (
@@ -31,6 +35,15 @@
         while len(self._samples) > 1 and self._samples[1][0] <= since:
             self._samples.popleft()
 
+    def list_recent(self, now: float, totals: Totals) -> list[Totals]:
+        """Return the part of the sums of each recent span."""
+        new, old = totals
+        parts = []
+        for seconds in RECENT_SECONDS:
+            _, (new_before, old_before) = self._find(now - seconds, totals)
+            parts.append((new.minus(new_before), old.minus(old_before)))
+        return parts
+
     def requests_per_second(self, now: float, totals: Totals) -> float:
         """Return the service's rate of requests, the highest of the spans."""
         rates = []
--- a/tests/router/test_exposure.py
+++ b/tests/router/test_exposure.py
@@ -8,6 +8,7 @@
 from wagtailstream_router import rollout_state
 
 SEEDS = range(41, 47)
+ROLLBACK_SECONDS = 5.0
 
 
 def constant(per_second: float) -> collections.abc.Callable[[float], float]:
@@ -62,6 +63,20 @@
     assert outcome.exposed <= outcome.allowed
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("rate", [28.0, 200.0])
+async def test_a_version_that_turns_bad_just_before_its_completion_is_not_used(
+    rate: float, seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    day = rollout_play.Day(
+        constant(rate), fail_late(since=16.0), seed, play_seconds=30.0
+    )
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    assert rollout_state.Stage.COMPLETED not in outcome.written_at
+    limit = (outcome.bad_at + [float("inf")] * 50)[49] + ROLLBACK_SECONDS
+    assert max(outcome.sent_at[rollout_play.NEW]) <= limit
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("session_count", [0, 60])
 @pytest.mark.parametrize("rate", [7.5, 28.0, 200.0])
