Let the session decide on its version from the half of a roll-out on

It concerns the exposure too: one popular part moved all of its sessions at once, however many.

Cause: the share of requests for the new version was chosen by a hash of the shared part, also for requests of a session.

Change: a request of a session goes by the hash of its session. Requests without one still go by their shared part.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -463,9 +463,10 @@
             return old
         if share >= 1.0:
             return target
-        # Requests with the same shared prompt part move together, so that
-        # the new version's servers prefill each shared part only once.
-        name = task.call.shared_part or task.call.session
+        # A session keeps its version, whatever shared parts it uses. Other
+        # requests with the same shared part move together, so that the new
+        # version's servers prefill it only once.
+        name = task.call.session or task.call.shared_part
         name = name or task.call.identity
         hash_fraction = (
             xxhash.xxh32_intdigest(f"{target}|{name}".encode()) / 2**32
--- a/tests/router/test_exposure.py
+++ b/tests/router/test_exposure.py
@@ -92,6 +92,7 @@
     outcome = await rollout_play.Play(day, monkeypatch).run()
     completed_at = outcome.written_at[rollout_state.Stage.COMPLETED]
     assert completed_at <= day.seconds
+    assert outcome.moved_back <= 3
 
 
 @pytest.mark.parametrize("seed", SEEDS)
