Complete a roll-out only by what is written, and let the bad verdict hold

Cause: each instance completed in memory by its own clock, on evidence as old as its sleep, and the write compared only the end of the topic: a status that it had just read, a final one too, was overwritten by its own.

Change: a version is completed only once that is written, on condition, by an instance that did not stand still within the last second, that has heard of a peer within gossip's limit of silence, and whose evidence then still allows it. Rolling back needs none of that. The first final status in the store stays; of two verdicts the bad one holds in every instance that learns of it.

Looked for elsewhere: evacuation and its end are the operator's records, and the configuration too; crash records and limits only add, and are kept by each instance. No other decision is written by one instance for all.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -184,15 +184,16 @@
     def merge_status(self, status: rollout_state.Status) -> None:
         """Merge the stage of a roll-out that another instance ended.
 
-        Statuses of another order are ignored.
+        Statuses of another order are ignored. Of two verdicts the bad one
+        holds: whoever found the version bad has seen its answers.
         """
         progress = self._find_progress(status)
-        if progress is None:
+        if progress is None or not status.stage.is_final:
             return
         if (
-            progress.stage is rollout_state.Stage.RUNNING
-            and status.stage is not rollout_state.Stage.RUNNING
-        ):
+            not progress.stage.is_final
+            or status.stage is rollout_state.Stage.ROLLED_BACK
+        ) and progress.stage is not status.stage:
             self._end(progress, status.stage, "told")
 
     def handle_report(
@@ -509,38 +510,61 @@
         totals = progress.sum_evidence()
         progress.trend.record(time.monotonic(), totals)
         new, old = totals
-        recent = progress.trend.list_recent(time.monotonic(), totals)
         if rollout_state.is_bad(new, old):
             self._end(progress, rollout_state.Stage.ROLLED_BACK, "evidence")
         elif any(
             rollout_state.is_bad_lately(recent_new, old, recent_old)
-            for recent_new, recent_old in recent
+            for recent_new, recent_old in progress.trend.list_recent(
+                time.monotonic(), totals
+            )
         ):
             self._end(
                 progress, rollout_state.Stage.ROLLED_BACK, "recent_evidence"
             )
         elif (
-            progress.elapsed_share < exposure.HANDOVER_FROM
-            or any(
-                rollout_state.is_suspect(recent_new, old, recent_old)
-                for recent_new, recent_old in recent
-            )
-            # The old endpoints stop once it is completed.
-            or progress.order.target
-            in self._list_withheld(progress.order.service)
+            progress.handover_at is None
+            and progress.elapsed_share >= exposure.HANDOVER_FROM
+            and not self._is_held_back(progress, totals)
         ):
-            return
-        elif self._may_complete(progress, totals):
-            self._end(progress, rollout_state.Stage.COMPLETED, "time")
-        elif progress.handover_at is None:
             self._decide_handover(progress, totals)
 
-    def _may_complete(
+    def _is_held_back(
         self,
         progress: rollout_progress.Progress,
         totals: rollout_trend.Totals,
     ) -> bool:
-        """Return whether a version without bad evidence may be completed."""
+        """Return whether a version must not take the next step now."""
+        _, old = totals
+        if any(
+            rollout_state.is_suspect(recent_new, old, recent_old)
+            for recent_new, recent_old in progress.trend.list_recent(
+                time.monotonic(), totals
+            )
+        ):
+            return True
+        # The old endpoints stop once it is completed.
+        withheld = self._list_withheld(progress.order.service)
+        return progress.order.target in withheld
+
+    def confirm_completed(self, progress: rollout_progress.Progress) -> None:
+        """Complete a roll-out after its status was written.
+
+        A version that was found bad meanwhile stays rolled back here.
+        """
+        if not progress.stage.is_final:
+            self._end(progress, rollout_state.Stage.COMPLETED, "time")
+
+    def may_complete(self, progress: rollout_progress.Progress) -> bool:
+        """Return whether a running roll-out may be written as completed.
+
+        It needs current evidence, which no longer speaks against the version,
+        and a bound that covers what follows until the end of its time.
+        """
+        if progress.stage.is_final or not progress.has_contact:
+            return False
+        totals = progress.sum_evidence()
+        if self._is_held_back(progress, totals):
+            return False
         new, old = totals
         due_seconds = exposure.completion_seconds(
             progress.order.duration_seconds
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -14,6 +14,9 @@
 # A start that did not tell its evidence for this long may have ended; others
 # pass it on from then on. Instances tell theirs about five times a second.
 PASS_ON_SECONDS = 1.0
+# Peers that were all silent for this long may have found what is not known
+# here; it is gossip's limit of silence.
+CONTACT_SECONDS = 2.0
 # Starts whose evidence one message passes on, so that its size stays bounded.
 MAX_INHERITED = 8
 
@@ -63,9 +66,23 @@
 
     @property
     def needs_write(self) -> bool:
-        """Whether the status has to be written for the operator."""
+        """Whether the status has to be written for the operator.
+
+        The first final status that was written stays: the operator has acted
+        on it.
+        """
+        if self.written_stage is not None and self.written_stage.is_final:
+            return False
         return self.written_stage is not self.stage
 
+    @property
+    def has_contact(self) -> bool:
+        """Whether what peers know of the version would be known here."""
+        if not self.heard_at:
+            return True
+        since = time.monotonic() - CONTACT_SECONDS
+        return max(self.heard_at.values()) >= since
+
     @property
     def is_verdict_known(self) -> bool:
         """Whether a verdict would be known here if there was one.
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -14,6 +14,11 @@
     COMPLETED = "completed"
     ROLLED_BACK = "rolled_back"
 
+    @property
+    def is_final(self) -> bool:
+        """Whether the roll-out has ended."""
+        return self is not Stage.RUNNING
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -437,3 +437,116 @@
     topic.fault = None
     await status_writer.step()
     assert await read_stage(topic) is rollout_state.Stage.RUNNING
+
+
+def end_trial(harness: RolloutHarness) -> None:
+    """Let good answers come until the order's time is nearly over."""
+    for _ in range(30):
+        for member in (harness.members[0], harness.members[-1]):
+            harness.rollouts.record_send(make_job("r"), member)
+            harness.rollouts.record_answer(make_job("r"), member, GOOD)
+    harness.rollouts.progress["engine"].started_at -= 19.8
+
+
+async def step_twice(
+    status_writer: rollout_status.RolloutStatusWriter,
+    monkeypatch: pytest.MonkeyPatch,
+    seconds: float = 0.9,
+) -> None:
+    """Take a step, and another one after a time."""
+    await status_writer.step()
+    later = time.monotonic() + seconds
+    monkeypatch.setattr(time, "monotonic", lambda: later)
+    await status_writer.step()
+
+
+async def test_a_version_is_completed_only_once_that_is_written(
+    harness: RolloutHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    topic = store.MemoryTopic("status")
+    status_writer = make_status_writer(harness, topic)
+    end_trial(harness)
+    progress = harness.rollouts.progress["engine"]
+    harness.rollouts.evaluate(progress)
+    assert progress.stage is rollout_state.Stage.RUNNING
+    for _ in range(2):
+        await step_twice(status_writer, monkeypatch)
+    assert await read_stage(topic) is rollout_state.Stage.COMPLETED
+    assert progress.stage is rollout_state.Stage.COMPLETED
+
+
+async def test_a_process_that_slept_completes_nothing_at_once(
+    harness: RolloutHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    topic = store.MemoryTopic("status")
+    status_writer = make_status_writer(harness, topic)
+    await step_twice(status_writer, monkeypatch)
+    end_trial(harness)
+    await step_twice(status_writer, monkeypatch, seconds=2.3)
+    assert await read_stage(topic) is rollout_state.Stage.RUNNING
+    for _ in range(2):
+        await step_twice(status_writer, monkeypatch)
+    assert await read_stage(topic) is rollout_state.Stage.COMPLETED
+
+
+async def test_a_process_whose_peers_fell_silent_completes_nothing(
+    harness: RolloutHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    topic = store.MemoryTopic("status")
+    status_writer = make_status_writer(harness, topic)
+    peer = rollout_state.Start("router-2", 1)
+    status = harness.rollouts.progress["engine"].status
+    report = peer_report.RolloutReport(status, {})
+    harness.rollouts.handle_report(peer, report)
+    for _ in range(3):
+        await step_twice(status_writer, monkeypatch)
+    end_trial(harness)
+    for _ in range(2):
+        await step_twice(status_writer, monkeypatch)
+    assert await read_stage(topic) is rollout_state.Stage.RUNNING
+    harness.rollouts.handle_report(peer, report)
+    await status_writer.step()
+    assert await read_stage(topic) is rollout_state.Stage.COMPLETED
+
+
+@pytest.mark.parametrize(
+    ("written", "own"),
+    [
+        (rollout_state.Stage.ROLLED_BACK, rollout_state.Stage.COMPLETED),
+        (rollout_state.Stage.COMPLETED, rollout_state.Stage.ROLLED_BACK),
+    ],
+)
+async def test_no_final_status_is_overwritten_and_the_bad_verdict_holds(
+    harness: RolloutHarness,
+    written: rollout_state.Stage,
+    own: rollout_state.Stage,
+) -> None:
+    topic = store.MemoryTopic("status")
+    progress = harness.rollouts.progress["engine"]
+    status = dataclasses.replace(progress.status, stage=written)
+    record = rollout_state.StatusRecord(status, round(time.time() * 1000.0))
+    topic.put("rollout/engine", CODEC.encode_status(record))
+    progress.stage = own
+    status_writer = make_status_writer(harness, topic)
+    for _ in range(3):
+        await status_writer.step()
+    assert await read_stage(topic) is written
+    assert progress.stage is rollout_state.Stage.ROLLED_BACK
+    assert set(harness.choose_versions(100)) == {"v1"}
+
+
+def test_a_peers_bad_verdict_holds_after_the_completion(
+    harness: RolloutHarness,
+) -> None:
+    progress = harness.rollouts.progress["engine"]
+    harness.rollouts.confirm_completed(progress)
+    status = dataclasses.replace(
+        progress.status, stage=rollout_state.Stage.ROLLED_BACK
+    )
+    harness.rollouts.merge_status(status)
+    assert set(harness.choose_versions(100)) == {"v1"}
+    completed = dataclasses.replace(
+        progress.status, stage=rollout_state.Stage.COMPLETED
+    )
+    harness.rollouts.merge_status(completed)
+    assert progress.stage is rollout_state.Stage.ROLLED_BACK
