Keep text that is no event out of a stream

Cause: any bytes up to a blank line were passed on as an event. Errors by their status never got into a stream: tried with 500, 502, 503 not run, 404, 302 and an unsigned 200, each with five bodies and three framings; all passed before. An error's text in a signed 200, or a head within a body, did.

Change: a block with no field of server-sent events, which is no comment either, breaks the answer off; the stream is resumed or ends incomplete. An error's text behind the first half of an event, in one block with it, can't be told from the event's own.

--- a/packages/wagtailstream-router/wagtailstream_router/event_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/event_stream.py
@@ -3,6 +3,8 @@
 import dataclasses
 
 _ENDS = (b"\n\n", b"\r\n\r\n")
+# The fields of server-sent events; others may stand beside them.
+_FIELDS = frozenset({b"id", b"data", b"event", b"retry"})
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -12,11 +14,13 @@
     :param data: its raw bytes, including the blank line at its end.
     :param identity: its id field; "" if it has none.
     :param is_comment: whether it has no field at all; it is no progress then.
+    :param is_valid: whether it is an event or a comment, and no other text.
     """
 
     data: bytes
     identity: str
     is_comment: bool = False
+    is_valid: bool = True
 
 
 class EventSplitter:
@@ -40,7 +44,7 @@
         while (end := _find_end(self._rest)) > 0:
             raw = self._rest[:end]
             self._rest = self._rest[end:]
-            events.append(Event(raw, _find_identity(raw), _is_comment(raw)))
+            events.append(_parse(raw))
         return events
 
 
@@ -49,13 +53,20 @@
     return min(ends, default=0)
 
 
-def _find_identity(raw: bytes) -> str:
+def _parse(raw: bytes) -> Event:
+    """Return the event that some bytes with a blank line at the end hold."""
+    identity = ""
+    names = set()
     for line in raw.splitlines():
+        if not line or line.startswith(b":"):
+            continue
         name, _, value = line.partition(b":")
-        if name == b"id":
-            return value.strip().decode("utf-8", "replace")
-    return ""
-
-
-def _is_comment(raw: bytes) -> bool:
-    return all(not line or line.startswith(b":") for line in raw.splitlines())
+        if name == b"id" and not identity:
+            identity = value.strip().decode("utf-8", "replace")
+        names.add(name)
+    return Event(
+        raw,
+        identity,
+        is_comment=not names,
+        is_valid=not names or not names.isdisjoint(_FIELDS),
+    )
--- a/packages/wagtailstream-router/wagtailstream_router/relay.py
+++ b/packages/wagtailstream-router/wagtailstream_router/relay.py
@@ -73,10 +73,12 @@
 
         :returns: how long it waited for the caller, in seconds.
         :raises exchange.AttemptError: an event is longer than
-            `MAX_EVENT_BYTES`.
+            `MAX_EVENT_BYTES`, or other text stands in its place.
         """
         waited_seconds = 0.0
         for event in self._splitter.feed(data):
+            if not event.is_valid:
+                raise _broken(answer, "the stream holds text that is no event")
             self._has_event = True
             if self._is_known(event):
                 continue
