Send no further attempt on a connection that its request was sent on

A faulty server had written its refusal once more on the kept connection.

Cause: the id in an answer tells a late copy from the answer to another request, but not from the answer to a further attempt of the same one. After a refusal such an attempt could get the very connection of the refused one.

Change: a request keeps the connections that its attempts were sent on, and the pool passes over them.

--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -324,15 +324,22 @@
         """The number of connections opened so far, failed ones included."""
         return self._opened
 
-    async def acquire(self, address: str) -> EndpointLink:
+    async def acquire(
+        self,
+        address: str,
+        used: collections.abc.Container[EndpointLink] = (),
+    ) -> EndpointLink:
         """Return a connection to an endpoint, preferably an idle one.
 
         :param address: the endpoint's IPv4 address and port, `host:port`.
+        :param used: connections that are not wanted.
         :raises errors.NotSentError: no connection could be opened.
         """
         idle = self._idle.get(address, [])
-        while idle:
-            link = idle.pop()
+        for link in reversed(idle.copy()):
+            if link in used:
+                continue
+            idle.remove(link)
             if link.is_reusable:
                 return link
             link.close()
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -309,7 +309,8 @@
         self, task: job.Job, member: directory.Member
     ) -> endpoint_link.EndpointLink:
         try:
-            return await self._pool.acquire(member.entry.address)
+            # A late copy of an earlier answer would bear the request's own id.
+            return await self._pool.acquire(member.entry.address, task.links)
         except errors.NotSentError as error:
             task.tried.add(member.identity)
             raise AttemptError(
@@ -342,6 +343,7 @@
         member.cold.record_send()
         task.sent += 1
         task.tried.add(member.identity)
+        task.links.append(link)
         try:
             link.send(call.method, call.target, headers, call.body)
             # Undone if the endpoint states that nothing ran. The deadline may
--- a/packages/wagtailstream-router/wagtailstream_router/job.py
+++ b/packages/wagtailstream-router/wagtailstream_router/job.py
@@ -2,7 +2,13 @@
 
 import dataclasses
 
-from wagtailstream_router import configuration, directory, reply, request
+from wagtailstream_router import (
+    configuration,
+    directory,
+    endpoint_link,
+    reply,
+    request,
+)
 
 
 @dataclasses.dataclass
@@ -18,6 +24,7 @@
     :param sent: the number of attempts so far.
     :param tried: the ids of the endpoints of these attempts, and of those that
         could not be reached.
+    :param links: the connections of these attempts.
     :param uncertain_runs: the number of attempts whose endpoint may have run
         the request.
     :param failed_at: the endpoints that answered with an error.
@@ -36,6 +43,9 @@
     model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
     sent: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
+    links: list[endpoint_link.EndpointLink] = dataclasses.field(
+        default_factory=list
+    )
     uncertain_runs: int = 0
     failed_at: list[directory.Member] = dataclasses.field(default_factory=list)
     version: str = ""
--- a/tests/router/test_endpoint_notices.py
+++ b/tests/router/test_endpoint_notices.py
@@ -313,9 +313,13 @@
         super().__init__(headers.PlatformHeaders())
         self._speak = speak
 
-    async def acquire(self, address: str) -> endpoint_link.EndpointLink:
+    async def acquire(
+        self,
+        address: str,
+        used: collections.abc.Container[endpoint_link.EndpointLink] = (),
+    ) -> endpoint_link.EndpointLink:
         """Return a connection, after the endpoint has spoken."""
-        link = await super().acquire(address)
+        link = await super().acquire(address, used)
         self._speak()
         return link
 
--- a/tests/router/test_late_copies.py
+++ b/tests/router/test_late_copies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 
 import pytest
 
@@ -91,3 +92,45 @@
     gate.set()
     assert second.headers.get(names.REQUEST_ID.lower()) == "request-2"
     assert second.status in (200, 502)
+
+
+@pytest.mark.parametrize("copies", [1, 2])
+@pytest.mark.parametrize("framing", list(platform_endpoint.Framing))
+async def test_a_copy_of_a_refusal_is_no_answer_to_the_same_requests_next_run(
+    framing: platform_endpoint.Framing, copies: int
+) -> None:
+    fleet = support.Fleet()
+    table = support.make_configuration()
+    table["routes"][2]["streamResumption"] = False
+    fleet.platform.put_configuration(table)
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    await fleet.start()
+    refusal = dataclasses.replace(
+        REFUSAL, headers=((names.RETRY_AFTER, "0.05"),)
+    )
+    gate = asyncio.Event()
+    endpoint.plans = [refusal] * copies + [
+        platform_endpoint.Plan(
+            pieces=(platform_endpoint.make_event(1),),
+            framing=framing,
+            gate=gate,
+        )
+    ]
+    pending = asyncio.ensure_future(
+        fleet.call(
+            "POST",
+            support.STREAM_PATH,
+            b"x",
+            "request-1",
+            **support.make_stream_headers(),
+        )
+    )
+    while endpoint.runs == 0:
+        await asyncio.sleep(0.005)
+    await asyncio.sleep(2 * LATE_SECONDS)
+    gate.set()
+    reply = await pending
+    await fleet.close()
+    assert reply.status == 200
+    assert platform_endpoint.make_event(1) in reply.body
+    assert endpoint.runs == 1
