Keep the bound on a version on trial while the old one has no endpoint

As soon as no endpoint of the old version was ready, for a crash or a restart of all of them, every request went to the version on trial, without a bound and without a verdict.

Change: an old version that was seen stays the settled one, as it does when its data centres are emptied. A service of which only the new version was ever seen is served by it as before.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -357,17 +357,22 @@
         )
 
     def _has_allowance(
-        self, task: job.Job, progress: rollout_progress.Progress
+        self,
+        task: job.Job,
+        progress: rollout_progress.Progress,
+        is_alone: bool,
     ) -> bool:
         """Return whether one more request may go to a version on trial.
 
         A session that has moved stays within a wider limit.
+
+        :param is_alone: whether no other version has an endpoint now.
         """
         new, old = progress.sum_evidence()
         requests = new.requests + old.requests
         if progress.is_handed_over:
             limit = self._bounds.final_limit(requests)
-        elif task.call.session:
+        elif task.call.session or is_alone:
             limit = self._bounds.limit(requests)
         else:
             limit = self._bounds.trial_limit(requests)
@@ -423,7 +428,7 @@
             or settled == progress.order.target
         ):
             return settled
-        return self._choose_during_rollout(task, progress, settled)
+        return self._choose_during_rollout(task, progress, members, settled)
 
     def _find_settled_version(
         self,
@@ -432,9 +437,10 @@
     ) -> str:
         """Return the version that is not on trial; "" if none may be used.
 
-        The new version of a running order is returned only if there is no
-        other. An old version that only emptied data centres have stays the
-        settled one: a version on trial must not get its requests.
+        The new version of a running order is returned only if no other was
+        seen. An old version that only emptied data centres have, or that has
+        no endpoints now, stays the settled one: a version on trial must not
+        get all of its requests.
         """
         progress = self._progress.get(service)
         target = progress.order.target if progress is not None else ""
@@ -452,17 +458,30 @@
             return target
         if progress.stage is rollout_state.Stage.RUNNING:
             withheld = sorted(self._list_withheld(service) - {target})
-            return old or next(iter(withheld), target)
+            seen = [
+                version
+                for version in self._seen_versions[service]
+                if version != target
+            ]
+            return old or next(iter((*withheld, *seen)), target)
         return old
 
     def _choose_during_rollout(
-        self, task: job.Job, progress: rollout_progress.Progress, old: str
+        self,
+        task: job.Job,
+        progress: rollout_progress.Progress,
+        members: collections.abc.Sequence[directory.Member],
+        old: str,
     ) -> str:
         target = progress.order.target
         share = self._exposure_of(task, progress)
-        if not self._has_allowance(task, progress):
+        is_alone = progress.is_verdict_known and not (
+            _has_version(members, old)
+            or old in self._list_withheld(task.service)
+        )
+        if not self._has_allowance(task, progress, is_alone):
             return old
-        if share >= 1.0:
+        if share >= 1.0 or is_alone:
             return target
         # A session keeps its version, whatever shared parts it uses. Other
         # requests with the same shared part move together, so that the new
--- a/tests/router/rollout_play.py
+++ b/tests/router/rollout_play.py
@@ -43,6 +43,7 @@
     :param fails: returns the chance that a version fails a request, by the
         version, the time and the version's requests in the last second.
     :param session_count: the sessions that requests belong to; 0 for none.
+    :param old_gone: from when to when the old version has no endpoint.
     """
 
     rate: collections.abc.Callable[[float], float]
@@ -52,6 +53,7 @@
     play_seconds: float = 20.0
     instances: int = 5
     session_count: int = 0
+    old_gone: tuple[float, float] = (0.0, 0.0)
 
 
 @dataclasses.dataclass
@@ -183,7 +185,11 @@
 
     def _list_members(self) -> list[directory.Member]:
         """Return the endpoints: the old ones stop at the completion."""
-        if rollout_state.Stage.COMPLETED in self.outcome.written_at:
+        begin, end = self._day.old_gone
+        if (
+            rollout_state.Stage.COMPLETED in self.outcome.written_at
+            or begin <= self._now < end
+        ):
             return self._members[3:]
         return self._members
 
--- a/tests/router/test_exposure.py
+++ b/tests/router/test_exposure.py
@@ -103,3 +103,23 @@
     outcome = await rollout_play.Play(day, monkeypatch).run()
     completed_at = outcome.written_at[rollout_state.Stage.COMPLETED]
     assert completed_at <= day.seconds
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("session_count", [0, 60])
+@pytest.mark.parametrize("rate", [28.0, 200.0])
+async def test_a_late_bad_version_does_not_replace_old_endpoints_that_are_gone(
+    rate: float,
+    session_count: int,
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    day = rollout_play.Day(
+        constant(rate),
+        fail_late(since=13.0),
+        seed,
+        session_count=session_count,
+        old_gone=(4.0, 9.0),
+    )
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    assert outcome.exposed <= outcome.allowed
