Test the bound of a roll-out where all instances are killed

A change that gives no slack to instances that did not see the order come made no difference in these cases and was not kept.

--- a/tests/router/rollout_play.py
+++ b/tests/router/rollout_play.py
@@ -44,6 +44,7 @@
         version, the time and the version's requests in the last second.
     :param session_count: the sessions that requests belong to; 0 for none.
     :param old_gone: from when to when the old version has no endpoint.
+    :param killed_at: when all instances are killed and start anew.
     """
 
     rate: collections.abc.Callable[[float], float]
@@ -54,6 +55,7 @@
     instances: int = 5
     session_count: int = 0
     old_gone: tuple[float, float] = (0.0, 0.0)
+    killed_at: tuple[float, ...] = ()
 
 
 @dataclasses.dataclass
@@ -107,23 +109,33 @@
             for number in range(3)
         ]
         self._topic = store.MemoryTopic("status")
-        self._fleet = [self._make_instance(n) for n in range(day.instances)]
+        self._boot = 0
+        self._start_fleet()
+        self._answers: list[tuple[float, int, rollout.Rollouts, bool]] = []
+        self._tasks: dict[int, tuple[job.Job, directory.Member]] = {}
+        self._last_version: dict[str, str] = {}
+        self.outcome = Outcome(day)
+
+    def _start_fleet(self) -> None:
+        """Start all instances; only those of the first start see the order."""
+        self._boot += 1
+        self._fleet = [
+            self._make_instance(number)
+            for number in range(self._day.instances)
+        ]
         self._writers = [
             rollout_status.RolloutStatusWriter(
                 self._topic, rollouts, CODEC, event_log.MemoryEventLog()
             )
             for rollouts in self._fleet
         ]
-        self._answers: list[tuple[float, int, rollout.Rollouts, bool]] = []
-        self._tasks: dict[int, tuple[job.Job, directory.Member]] = {}
-        self._last_version: dict[str, str] = {}
-        self.outcome = Outcome(day)
 
     def _make_instance(self, number: int) -> rollout.Rollouts:
         copy = replica.Replica()
-        copy.reset(store.Page((), 0), time.monotonic())
+        if self._boot == 1:
+            copy.reset(store.Page((), 0), time.monotonic())
         rollouts = rollout.Rollouts(
-            rollout_state.Start(f"router-{number}", 1),
+            rollout_state.Start(f"router-{number}", self._boot),
             copy,
             CODEC,
             exposure.ExposureBounds(EXPOSURE_SHARE, EXPOSURE_SLACK),
@@ -145,10 +157,14 @@
     async def run(self) -> Outcome:
         """Play the day; return what its endpoints saw."""
         due_report, due_status, due_request = 0.0, 0.0, 0.0
+        due_kills = list(self._day.killed_at)
         numbers = itertools.count()
         while self._now < self._day.play_seconds:
             self._now = min(due_report, due_status, due_request)
             self._deliver_answers()
+            if due_kills and self._now >= due_kills[0]:
+                due_kills.pop(0)
+                self._start_fleet()
             if self._now == due_report:
                 due_report += REPORT_SECONDS
                 self._exchange_reports()
--- a/tests/router/test_exposure.py
+++ b/tests/router/test_exposure.py
@@ -123,3 +123,29 @@
     )
     outcome = await rollout_play.Play(day, monkeypatch).run()
     assert outcome.exposed <= outcome.allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("rate", [7.5, 28.0])
+@pytest.mark.parametrize("killed_at", [(6.0, 12.0), (17.2,), (17.0, 17.5)])
+async def test_the_bound_holds_though_all_instances_are_killed(
+    killed_at: tuple[float, ...],
+    rate: float,
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    day = rollout_play.Day(
+        constant(rate), fail_late(since=17.9), seed, killed_at=killed_at
+    )
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    assert outcome.exposed <= outcome.allowed
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+async def test_a_good_version_is_completed_though_all_instances_are_killed(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    day = rollout_play.Day(constant(28.0), never_fail, seed, killed_at=(9.0,))
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    completed_at = outcome.written_at[rollout_state.Stage.COMPLETED]
+    assert completed_at <= day.seconds
