Remember the versions that were rolled back beyond their order

A verdict was kept with its order only. With the next order for the service the version that was just found bad became one of the old ones: it could be taken for the settled version, at the latest when the one before had no endpoint, and by an instance that started since, whose status in the store was that of the new order.

Change: each instance remembers the last eight bad versions of a service and reports them; they are never the settled one. A version that is ordered again is tried anew.

Evidence: test_a_version_that_was_rolled_back_gets_nothing_during_another_order and the two tests after it.

--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -50,6 +50,7 @@
     :param inherited: the evidence of starts that may have ended.
     :param handover_in_seconds: the time until all requests go to the new
         version, negative if they do; None while it is on trial.
+    :param rejected: the versions of the service that were found bad.
     """
 
     status: rollout_state.Status
@@ -59,6 +60,7 @@
         dataclasses.field(default_factory=dict)
     )
     handover_in_seconds: float | None = None
+    rejected: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -280,6 +282,7 @@
             for start, evidence in report.inherited.items()
         ],
         report.handover_in_seconds,
+        sorted(report.rejected),
     ]
 
 
@@ -476,6 +479,7 @@
         evidence,
         inherited,
         handover_in_seconds,
+        rejected,
     ) = row
     status = rollout_state.Status(
         str(service),
@@ -492,6 +496,7 @@
             for name, boot, counts in inherited
         },
         None if handover_in_seconds is None else float(handover_in_seconds),
+        frozenset(map(str, rejected)),
     )
 
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -24,6 +24,9 @@
 # Shortest time between two log lines on the evidence of a running roll-out; it
 # bounds the volume of the log.
 EVIDENCE_LOG_SECONDS = 1.0
+# Bad versions that are remembered for each service, so that messages stay
+# short; the endpoints of older ones have long left.
+MAX_REJECTED = 8
 
 
 class Rollouts:
@@ -59,6 +62,8 @@
         self._seen_era = 0
         self._progress: dict[str, rollout_progress.Progress] = {}
         self._superseded: dict[str, set[str]] = {}
+        # The versions of each service that were found bad, the oldest first.
+        self._rejected: dict[str, list[str]] = {}
         self._seen_versions: dict[str, list[str]] = {}
         self._logged_evidence: dict[str, rollout_trend.Totals] = {}
         self._evidence_log_due = float("-inf")
@@ -119,6 +124,10 @@
         self._progress[order.service] = rollout_progress.Progress(
             order, position, time.monotonic(), is_witness
         )
+        # The operator orders it anew, and so it is tried anew.
+        rejected = self._rejected.get(order.service, [])
+        if order.target in rejected:
+            rejected.remove(order.target)
         self._log.write(
             "rollout_ordered",
             service=order.service,
@@ -204,6 +213,8 @@
         progress = self._find_progress(report.status)
         if progress is None:
             return
+        for version in sorted(report.rejected - {progress.order.target}):
+            self._reject(progress.order.service, version)
         progress.heard_at[peer] = time.monotonic()
         progress.merge_evidence(peer, report.evidence)
         for start, evidence in report.inherited.items():
@@ -236,6 +247,7 @@
                 None
                 if progress.handover_at is None
                 else progress.handover_at - time.monotonic(),
+                frozenset(self._rejected.get(progress.order.service, ())),
             )
             for progress in self._progress.values()
         )
@@ -444,25 +456,23 @@
         """
         progress = self._progress.get(service)
         target = progress.order.target if progress is not None else ""
+        rejected = self._rejected.get(service, [])
+        seen = [
+            version
+            for version in self._seen_versions[service]
+            if version != target and version not in rejected
+        ]
         old = next(
-            (
-                version
-                for version in self._seen_versions[service]
-                if version != target and _has_version(members, version)
-            ),
-            "",
+            (version for version in seen if _has_version(members, version)), ""
         )
         if progress is None or not _has_version(members, target):
             return old
         if progress.stage is rollout_state.Stage.COMPLETED:
             return target
         if progress.stage is rollout_state.Stage.RUNNING:
-            withheld = sorted(self._list_withheld(service) - {target})
-            seen = [
-                version
-                for version in self._seen_versions[service]
-                if version != target
-            ]
+            withheld = sorted(
+                self._list_withheld(service) - {target, *rejected}
+            )
             return old or next(iter((*withheld, *seen)), target)
         return old
 
@@ -655,6 +665,13 @@
                 **_describe(totals),
             )
 
+    def _reject(self, service: str, version: str) -> None:
+        """Remember that a version is bad, beyond the order that tried it."""
+        rejected = self._rejected.setdefault(service, [])
+        if version not in rejected:
+            rejected.append(version)
+            del rejected[:-MAX_REJECTED]
+
     def _end(
         self,
         progress: rollout_progress.Progress,
@@ -662,6 +679,8 @@
         cause: str,
     ) -> None:
         progress.stage = stage
+        if stage is rollout_state.Stage.ROLLED_BACK:
+            self._reject(progress.order.service, progress.order.target)
         self._log.write(
             "rollout_ended",
             service=progress.order.service,
--- a/tests/router/test_peers.py
+++ b/tests/router/test_peers.py
@@ -46,6 +46,8 @@
                     "v1": rollout_state.Evidence(6)
                 }
             },
+            -0.25,
+            frozenset({"v0"}),
         ),
     ),
     ("127.0.0.1:7001",),
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -550,3 +550,58 @@
     )
     harness.rollouts.merge_status(completed)
     assert progress.stage is rollout_state.Stage.ROLLED_BACK
+
+
+def order_another(harness: RolloutHarness) -> None:
+    """Order v3 while endpoints of the rejected v2 are still there."""
+    harness.members += [make_member(f"next-{n}", "v3") for n in range(2)]
+    harness.order("v3", offset=2)
+
+
+def reject_v2(harness: RolloutHarness) -> None:
+    for _ in range(3):
+        harness.rollouts.record_answer(
+            make_job("r"), harness.members[-1], FAILED
+        )
+    progress = harness.rollouts.progress["engine"]
+    assert progress.stage is rollout_state.Stage.ROLLED_BACK
+
+
+def test_a_version_that_was_rolled_back_gets_nothing_during_another_order(
+    harness: RolloutHarness,
+) -> None:
+    reject_v2(harness)
+    order_another(harness)
+    assert "v2" not in harness.choose_versions(50)
+    del harness.members[:4]
+    for session in ("", "session-1"):
+        for number in range(50):
+            task = make_job(f"r-{number}", session)
+            for member in harness.rollouts.filter(task, harness.members):
+                assert member.entry.version == "v3"
+    settled = harness.rollouts.list_settled("engine", harness.members)
+    assert settled == []
+
+
+def test_a_peer_that_started_later_learns_which_versions_were_rolled_back(
+    harness: RolloutHarness,
+) -> None:
+    reject_v2(harness)
+    order_another(harness)
+    later = make_instance("router-2", 5, harness.members[4:])
+    later.order("v3", offset=2)
+    exchange_reports([harness, later])
+    settled = later.rollouts.list_settled("engine", later.members)
+    assert {member.entry.version for member in settled} <= {"v3"}
+    back = [*later.members, make_member("old-9", "v1")]
+    settled = later.rollouts.list_settled("engine", back)
+    assert {member.entry.version for member in settled} == {"v1"}
+
+
+def test_a_rejected_version_is_tried_anew_when_it_is_ordered_again(
+    harness: RolloutHarness,
+) -> None:
+    reject_v2(harness)
+    order_another(harness)
+    harness.order("v2", offset=3)
+    assert "v2" in harness.choose_versions(200)
