Repeat a request that failed on a version on trial at the settled one

Callers saw errors of a version on trial for streams that the old version would have served: a repeat of a stream went to the new version again, as few of its endpoints are exposed even to the same one. Each such failure was a further request at a bad version (EXPOSURE) and counted as evidence twice. Plain requests went to the settled version already.

Change: while an order runs, a request that may have run on the version on trial, and whose answer has not begun, goes to the settled version. An answer that has begun goes on at its own version; a request that was refused, not run, stays where its session is.

Evidence: test_a_stream_that_failed_on_a_version_on_trial_goes_elsewhere failed before with 500 for the caller.

--- a/packages/wagtailstream-router/wagtailstream_router/job.py
+++ b/packages/wagtailstream-router/wagtailstream_router/job.py
@@ -24,6 +24,7 @@
     :param sent: the number of attempts so far.
     :param tried: the ids of the endpoints of these attempts, and of those that
         could not be reached.
+    :param tried_versions: the versions that these were sent to.
     :param links: the connections of these attempts.
     :param uncertain_runs: the number of attempts whose endpoint may have run
         the request.
@@ -43,6 +44,7 @@
     model_costs: dict[str, float] = dataclasses.field(default_factory=dict)
     sent: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
+    tried_versions: set[str] = dataclasses.field(default_factory=set)
     links: list[endpoint_link.EndpointLink] = dataclasses.field(
         default_factory=list
     )
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -266,6 +266,8 @@
         self.refresh()
         self._record_versions(task.service, members)
         version = self._choose_version(task, members)
+        if self._may_have_failed_on_trial(task):
+            version = self._find_settled_version(task.service, members)
         chosen = self._list_exposed(task, version, members)
         if not task.call.session and all(
             member.cold.wait_seconds for member in chosen
@@ -275,6 +277,21 @@
         self._log_choice(task, version)
         return chosen
 
+    def _may_have_failed_on_trial(self, task: job.Job) -> bool:
+        """Return whether a version on trial may have failed a request.
+
+        Its repeat goes to the settled version: if that answers, the caller is
+        served, and the failure counts once. A stream that has begun goes on
+        at its own version.
+        """
+        progress = self._find_running(task.service)
+        return (
+            progress is not None
+            and not task.reply.is_started
+            and task.may_have_run
+            and progress.order.target in task.tried_versions
+        )
+
     def _list_exposed(
         self,
         task: job.Job,
@@ -505,6 +522,7 @@
 
     def record_send(self, task: job.Job, member: directory.Member) -> None:
         """Count an attempt, just before it is sent to an endpoint."""
+        task.tried_versions.add(member.entry.version)
         progress = self._find_running(task.service)
         if progress is not None:
             progress.find_evidence(member.entry.version).count_send(
--- a/tests/router/test_forward_stream.py
+++ b/tests/router/test_forward_stream.py
@@ -353,6 +353,33 @@
     await fleet.close()
 
 
+async def test_a_stream_that_failed_on_a_version_on_trial_goes_elsewhere(
+    fleet: support.Fleet,
+) -> None:
+    old = await fleet.add_endpoint("engine-1", "engine")
+    old.default = make_plan(1, 2)
+    await fleet.start()
+    for number in range(20):
+        await call_stream(fleet, identity=f"before-{number}")
+    new = await fleet.add_endpoint("engine-2", "engine", version="v2")
+    new.default = platform_endpoint.Plan(500, (b"error",))
+    fleet.platform.operator.put(
+        "rollout/engine",
+        b'{"service": "engine", "target": "v2", "durationS": 1000}',
+    )
+    await fleet.wait_for_event("rollout_ordered")
+    await fleet.wait_for(lambda: fleet.router.endpoint_count == 2)
+    number = 0
+    while not fleet.has_event("rollout_ended"):
+        number += 1
+        reply = await call_own_prompt(fleet, number)
+        assert reply.status == 200
+    identities = [
+        arrival.headers[names.REQUEST_ID.lower()] for arrival in new.arrivals
+    ]
+    assert len(identities) == len(set(identities)) > 0
+
+
 async def test_a_slow_answer_is_awaited_if_no_retry_budget_is_left() -> None:
     """Without budget for another attempt, a slow answer must not be cut.
 
