--- a/packages/wagtailstream-router/wagtailstream_router/exposure.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exposure.py
@@ -11,9 +11,12 @@
 # The part of what may be used that requests get before the handover; the rest
 # is kept for the handover, in which the version bears its full load.
 TRIAL_PART = 0.5
-# Fraction of the order's duration before which no handover takes place: until
-# then answers to few requests may still show that the version is bad.
-HANDOVER_FROM = 0.85
+# Fraction of the order's duration before which no handover begins: until then
+# answers to few requests may still show that the version is bad.
+HANDOVER_FROM = 0.75
+# Fraction of the order's duration, before the completion, in which all
+# requests go to the new version: short requests at the old endpoints end then.
+FULL_PART = 0.02
 # How far the rate of requests may rise after a handover was decided.
 SURGE_FACTOR = 1.3
 # Seconds from the decision on a handover to its start: time for three reports
@@ -64,24 +67,52 @@
     return max(latest, MIN_TRIAL_PART * duration_seconds)
 
 
+def handover_share(
+    age_seconds: float,
+    begins_at: float,
+    duration_seconds: float,
+    trial_share: float,
+) -> float:
+    """Return the share of requests, 0 to 1, in a handover.
+
+    It rises with the time, so that the new endpoints' caches warm up.
+
+    :param age_seconds: the time since the order.
+    :param begins_at: that time at the begin of the handover.
+    :param trial_share: the share before it.
+    """
+    ends_at = _full_seconds(duration_seconds)
+    if age_seconds >= ends_at:
+        return 1.0
+    passed = (age_seconds - begins_at) / (ends_at - begins_at)
+    return trial_share + max(0.0, passed) * (1.0 - trial_share)
+
+
+def _full_seconds(duration_seconds: float) -> float:
+    """Return the time from an order to the end of the rise of the share."""
+    return completion_seconds(duration_seconds) - FULL_PART * duration_seconds
+
+
 def may_hand_over(
     bounds: ExposureBounds,
     requests: float,
     sent: float,
     per_second: float,
-    seconds_left: float,
+    age_seconds: float,
+    duration_seconds: float,
 ) -> bool:
     """Return whether the bound holds if a handover is decided now.
 
-    All requests from its start to the end of the order's time go to the new
-    version then.
-
     :param requests: the requests of the service since the order.
     :param sent: the attempts of those that were sent to the new version.
     :param per_second: the rate of the service's requests.
-    :param seconds_left: the time until the end of the order's time.
+    :param age_seconds: the time since the order.
     """
-    exposed_seconds = max(0.0, seconds_left - HANDOVER_LEAD_SECONDS)
+    seconds_left = max(0.0, duration_seconds - age_seconds)
+    begins_at = age_seconds + HANDOVER_LEAD_SECONDS
+    rise_seconds = max(0.0, _full_seconds(duration_seconds) - begins_at)
+    full_seconds = max(0.0, duration_seconds - begins_at - rise_seconds)
+    exposed_seconds = full_seconds + rise_seconds * (1.0 + bounds.share) / 2.0
     return sent + SURGE_FACTOR * per_second * exposed_seconds <= bounds.limit(
         requests + per_second * seconds_left
     )
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -48,8 +48,8 @@
     :param age_seconds: the time since the order came; None if no instance
         that this one heard from saw it come.
     :param inherited: the evidence of starts that may have ended.
-    :param handover_in_seconds: the time until all requests go to the new
-        version, negative if they do; None while it is on trial.
+    :param handover_in_seconds: the time until the handover to the new version
+        begins, negative since then; None while none is decided.
     :param rejected: the versions of the service that were found bad.
     """
 
--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -342,11 +342,9 @@
             if member.entry.version == progress.order.target
             and member not in settled
         ]
-        if progress.is_handed_over and target:
+        share = self._exposure_of(progress, has_session=True)
+        if share >= 1.0 and target:
             return target
-        share = rollout_state.exposure_at(
-            progress.elapsed_share, self._bounds.share, has_session=True
-        )
         return settled + target[: math.ceil(share * len(target))]
 
     def _log_choice(self, task: job.Job, version: str) -> None:
@@ -368,21 +366,31 @@
             previous=previous or None,
             part=task.call.shared_part,
             elapsed_share=round(progress.elapsed_share, 3),
-            exposure=round(self._exposure_of(task, progress), 3),
+            exposure=round(
+                self._exposure_of(progress, bool(task.call.session)), 3
+            ),
             order=progress.position.offset,
         )
 
     def _exposure_of(
-        self, task: job.Job, progress: rollout_progress.Progress
+        self, progress: rollout_progress.Progress, has_session: bool
     ) -> float:
+        """Return the share of requests, 0 to 1, for the new version.
+
+        :param has_session: whether the requests belong to sessions.
+        """
         if not progress.is_verdict_known:
             return 0.0
-        if progress.is_handed_over:
-            return 1.0
-        return rollout_state.exposure_at(
-            progress.elapsed_share,
-            self._bounds.share,
-            has_session=bool(task.call.session),
+        share = rollout_state.exposure_at(
+            progress.elapsed_share, self._bounds.share, has_session
+        )
+        if progress.handover_at is None or not progress.is_handover_begun:
+            return share
+        return exposure.handover_share(
+            progress.age_seconds,
+            progress.handover_at - progress.started_at,
+            progress.order.duration_seconds,
+            share,
         )
 
     def _has_allowance(
@@ -399,7 +407,7 @@
         """
         new, old = progress.sum_evidence()
         requests = new.requests + old.requests
-        if progress.is_handed_over:
+        if progress.is_handover_begun:
             limit = self._bounds.final_limit(requests)
         elif task.call.session or is_alone:
             limit = self._bounds.limit(requests)
@@ -426,7 +434,7 @@
         ):
             return members
         count = rollout_state.count_exposed(
-            self._exposure_of(task, progress), len(members)
+            self._exposure_of(progress, bool(task.call.session)), len(members)
         )
         ranked = sorted(
             members, key=lambda member: _rendezvous_hash(version, member)
@@ -501,7 +509,7 @@
         old: str,
     ) -> str:
         target = progress.order.target
-        share = self._exposure_of(task, progress)
+        share = self._exposure_of(progress, bool(task.call.session))
         is_alone = progress.is_verdict_known and not (
             _has_version(members, old)
             or old in self._list_withheld(task.service)
@@ -640,7 +648,8 @@
             requests,
             new.sent,
             per_second,
-            progress.seconds_left,
+            progress.age_seconds,
+            progress.order.duration_seconds,
         ):
             return
         progress.merge_handover(now + exposure.HANDOVER_LEAD_SECONDS)
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -35,8 +35,8 @@
     :param evidence: this process's evidence.
     :param peer_evidence: the evidence of other starts, also of ended ones.
     :param peer_totals: the sums of those; None if they have changed.
-    :param handover_at: when all requests go to the new version, by the
-        monotonic clock; None while it is on trial.
+    :param handover_at: when the handover to the new version begins, by the
+        monotonic clock; None while none is decided.
     :param trend: recent sums of the evidence.
     :param heard_at: when each start last told its own evidence, by the
         monotonic clock.
@@ -117,8 +117,8 @@
         return max(0.0, self.order.duration_seconds - self.age_seconds)
 
     @property
-    def is_handed_over(self) -> bool:
-        """Whether all requests go to the new version."""
+    def is_handover_begun(self) -> bool:
+        """Whether more and more requests go to the new version."""
         return (
             self.handover_at is not None
             and time.monotonic() >= self.handover_at
