Let an endpoint's newest write hold, whatever order the store carries them out in

Cause: entries were ordered by their start and number only while a restored store was settling; otherwise the last record won.

Change: an entry that is older, by its endpoint's start and number, than one that was read in the last ten seconds is left out: state, address, version and all. An endpoint that starts again has a newer start, whatever its number. An endpoint without a start is not judged so, and a number of another writer holds an endpoint's own writes up for ten seconds at most.

--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -26,6 +26,10 @@
 # time by which a restored store may be behind, some seconds in the users'
 # specification.
 KEEP_WRITES_SECONDS = 60.0
+# How much later than a newer write an older one may still be carried out, some
+# seconds in the users' specification. A number that another writer gave an
+# entry holds the endpoint's own writes up no longer.
+LATE_WRITE_SECONDS = 10.0
 # Cold endpoints get nothing while less than this share of the slots of the
 # warm ones is in use: what runs there would start sooner than on a cold one.
 FREE_SHARE = 0.5
@@ -38,10 +42,12 @@
     :param order: the endpoint's start and the number of the write since; a
         later write is greater. The number is infinite once the entry was
         removed: most heartbeats before are not read.
+    :param read_order: the same of the last write that was read.
     :param at: when it was read, by the monotonic clock.
     """
 
     order: tuple[int, float]
+    read_order: tuple[int, float]
     at: float
 
 
@@ -522,25 +528,31 @@
     def _is_outdated(
         self, entry: endpoint.Endpoint, current: Member | None
     ) -> bool:
-        """Return whether an entry is a remnant in a restored store.
+        """Return whether an entry is older than one that was read before.
 
-        The copy that the store came back from may hold entries from before
-        what is believed, and entries of endpoints that have left.
+        The store may carry a write out seconds later than the endpoint's next
+        one. The copy that a restored store came back from may hold entries
+        from before what is believed, and entries of endpoints that have left.
         """
         last = self._last_writes.get(entry.identity)
-        if (
-            last is None
-            or entry.sequence is None
-            or not self._source.is_settling
-        ):
+        if last is None or entry.sequence is None:
             return False
         write = (entry.born_ms, entry.sequence)
+        if not self._source.is_settling:
+            is_recent = time.monotonic() - last.at < LATE_WRITE_SECONDS
+            # Without its start, a write after a restart looks old.
+            return (
+                bool(entry.born_ms) and is_recent and write < last.read_order
+            )
         return write < last.order or (current is None and write == last.order)
 
     def _record_write(self, identity: str, order: tuple[int, float]) -> None:
         now = time.monotonic()
-        self._last_writes.pop(identity, None)
-        self._last_writes[identity] = _Write(order, now)
+        before = self._last_writes.pop(identity, None)
+        read_order = order
+        if math.isinf(order[1]):
+            read_order = before.read_order if before is not None else (0, 0.0)
+        self._last_writes[identity] = _Write(order, read_order, now)
         # The oldest come first.
         for identity, write in list(self._last_writes.items()):
             if now - write.at < KEEP_WRITES_SECONDS:
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -88,6 +88,56 @@
     assert harness.members.changed_end == changed
 
 
+@pytest.mark.parametrize("state", ["draining", "ready"])
+def test_a_late_write_of_an_endpoint_undoes_no_newer_one(
+    harness: DirectoryHarness, state: str
+) -> None:
+    harness.reset(make_entry("a", sequence=4), make_entry("b"), end=2)
+    newer = make_entry("a", sequence=6, state=state, address="10.1.2.9:80")
+    harness.reset(newer, make_entry("b"), end=3)
+    ready = harness.list_ready_ids()
+    harness.reset(make_entry("a", sequence=5), make_entry("b"), end=4)
+    assert sorted(harness.list_ready_ids()) == sorted(ready)
+    entry = harness.members.members["a"].entry
+    assert entry.address == "10.1.2.9:80"
+    harness.reset(make_entry("a", sequence=7), make_entry("b"), end=5)
+    assert sorted(harness.list_ready_ids()) == ["a", "b"]
+    assert harness.members.members["a"].entry.address == "10.1.2.3:80"
+
+
+def test_a_late_write_brings_no_endpoint_back_that_has_left(
+    harness: DirectoryHarness,
+) -> None:
+    harness.reset(make_entry("a", sequence=6), make_entry("b"), end=2)
+    assert harness.list_ready_ids() == ["a", "b"]
+    harness.reset(make_entry("b"), end=3)
+    assert harness.list_ready_ids() == ["b"]
+    harness.reset(make_entry("a", sequence=5), make_entry("b"), end=4)
+    assert harness.list_ready_ids() == ["b"]
+    harness.reset(make_entry("a", sequence=7), make_entry("b"), end=5)
+    assert sorted(harness.list_ready_ids()) == ["a", "b"]
+
+
+def test_a_restarted_endpoint_with_a_lower_number_is_used(
+    harness: DirectoryHarness,
+) -> None:
+    harness.reset(make_entry("a", sequence=60, state="draining"), end=1)
+    assert harness.list_ready_ids() == []
+    harness.reset(make_entry("a", sequence=1, born=2), end=2)
+    assert harness.list_ready_ids() == ["a"]
+
+
+def test_a_number_of_another_writer_holds_an_endpoint_up_for_seconds_only(
+    harness: DirectoryHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    harness.reset(make_entry("a", sequence=2**60, state="draining"), end=1)
+    assert harness.list_ready_ids() == []
+    later = time.monotonic() + 11.0
+    monkeypatch.setattr(time, "monotonic", lambda: later)
+    harness.reset(make_entry("a", sequence=8), end=2)
+    assert harness.list_ready_ids() == ["a"]
+
+
 def test_lapsed_entries_are_used_only_if_no_others_are_ready(
     harness: DirectoryHarness, monkeypatch: pytest.MonkeyPatch
 ) -> None:
