Pass on headers with bytes above 127, and close the socket of a cancelled connect

A connect that was cancelled left its socket open until it was collected.

Change: headers go out as they came in, as Latin-1; a header that can't be encoded is an attempt that was not sent. A cancelled connect closes its socket. The stand-ins encode headers in the same way.

--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -106,6 +106,9 @@
             raise errors.NotSentError(
                 "connect", self._address, repr(error)
             ) from error
+        except asyncio.CancelledError:
+            self.close()
+            raise
         self._start_read()
 
     def close(self) -> None:
@@ -141,9 +144,14 @@
             )
         try:
             head = h11.Request(
-                method=method, target=target, headers=list(headers)
+                method=method,
+                target=target,
+                headers=[
+                    (name.encode("latin-1"), value.encode("latin-1"))
+                    for name, value in headers
+                ],
             )
-        except h11.LocalProtocolError as error:
+        except (h11.LocalProtocolError, UnicodeError) as error:
             raise errors.NotSentError(
                 "encode", self._address, str(error)
             ) from error
--- a/standins/platform_caller.py
+++ b/standins/platform_caller.py
@@ -79,7 +79,11 @@
         fields = list(headers)
         if body or method == "POST":
             fields.append(("Content-Length", str(len(body))))
-        head = h11.Request(method=method, target=target, headers=fields)
+        encoded = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in fields
+        ]
+        head = h11.Request(method=method, target=target, headers=encoded)
         self._writer.write(self._framing.send(head) or b"")
         if body:
             self._writer.write(self._framing.send(h11.Data(data=body)) or b"")
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -397,7 +397,7 @@
             body += bytes(event.data)
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             fields = {
-                name.decode().lower(): value.decode()
+                name.decode().lower(): value.decode("latin-1")
                 for name, value in head.headers
             }
             return Arrival(
