Decide a handover only where the order was seen to come

And the last instance that lives would never have completed a roll-out, as it waits for contact.

Change: only an instance that knows the order's age from one that saw it come decides the handover. Ten seconds after the end of the order's time a roll-out is left to the instances that are there.

Evidence: the two new cases of tests/router/test_rollout.py failed before.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout.py
@@ -333,6 +333,9 @@
             )
         elif (
             progress.handover_at is None
+            # The begin holds for all instances; one whose clock is wrong must
+            # not choose it.
+            and progress.is_start_witnessed
             and progress.elapsed_share >= exposure.HANDOVER_FROM
             and not self._is_held_back(progress, totals)
         ):
@@ -370,7 +373,9 @@
         It needs current evidence, which no longer speaks against the version,
         and a bound that covers what follows until the end of its time.
         """
-        if progress.stage.is_final or not progress.has_contact:
+        if progress.stage.is_final:
+            return False
+        if not progress.has_contact and not progress.is_overdue:
             return False
         totals = progress.sum_evidence()
         if self._is_held_back(progress, totals):
--- a/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_progress.py
@@ -17,6 +17,10 @@
 # Peers that were all silent for this long may have found what is not known
 # here; it is gossip's limit of silence.
 CONTACT_SECONDS = 2.0
+# A roll-out that has not ended this long after its time is up is left to the
+# instances that are still there: longer than the longest outage of the store
+# in the users' specification.
+OVERDUE_SECONDS = 10.0
 # Starts whose evidence one message passes on, so that its size stays bounded.
 MAX_INHERITED = 8
 
@@ -83,6 +87,13 @@
         since = time.monotonic() - CONTACT_SECONDS
         return max(self.heard_at.values()) >= since
 
+    @property
+    def is_overdue(self) -> bool:
+        """Whether peers that live would have ended the roll-out by now."""
+        return self.age_seconds > (
+            self.order.duration_seconds + OVERDUE_SECONDS
+        )
+
     @property
     def is_verdict_known(self) -> bool:
         """Whether a verdict would be known here if there was one.
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -509,6 +509,42 @@
     assert await read_stage(topic) is rollout_state.Stage.COMPLETED
 
 
+async def test_the_last_instance_completes_a_roll_out_that_is_overdue(
+    harness: RolloutHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    topic = store.MemoryTopic("status")
+    status_writer = make_status_writer(harness, topic)
+    status = harness.rollouts.progress["engine"].status
+    report = peer_report.RolloutReport(status, {})
+    harness.rollouts.handle_report(rollout_state.Start("router-2", 1), report)
+    for _ in range(3):
+        await step_twice(status_writer, monkeypatch)
+    end_trial(harness)
+    for _ in range(2):
+        await step_twice(status_writer, monkeypatch)
+    assert await read_stage(topic) is rollout_state.Stage.RUNNING
+    for _ in range(8):
+        await step_twice(status_writer, monkeypatch)
+    assert await read_stage(topic) is rollout_state.Stage.COMPLETED
+
+
+def test_an_instance_that_did_not_see_the_order_come_decides_no_handover() -> (
+    None
+):
+    copy = replica.Replica()
+    log = event_log.MemoryEventLog()
+    rollouts = rollout.Rollouts(OWN_START, copy, CODEC, BOUNDS, log)
+    later = RolloutHarness(copy, rollouts, make_harness().members, log)
+    later.order("v2")
+    end_trial(later)
+    progress = rollouts.progress["engine"]
+    rollouts.evaluate(progress)
+    assert progress.handover_at is None
+    progress.merge_start(progress.started_at, is_witnessed=True)
+    rollouts.evaluate(progress)
+    assert progress.handover_at is not None
+
+
 @pytest.mark.parametrize(
     ("written", "own"),
     [
