Roll a service out in the soak, and write entries that make no sense

What the bench plays seldom or not at all becomes a fault of the soak: beside all others, a service is rolled out to a version that turns bad at a random moment or never, and another writer leaves odd entries among those of the endpoints. At the end the version must not have got more than the bound allows, whatever its verdict, and no odd entry may have become an endpoint.

--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -246,14 +246,16 @@
         }
         self.store.put(names.OPERATOR_TOPIC, "config", orjson.dumps(table))
 
-    def put_rollout(self, target: str, seconds: float) -> None:
-        """Write an order to roll the engines out to a version.
+    def put_rollout(
+        self, target: str, seconds: float, service: str = "engine"
+    ) -> None:
+        """Write an order to roll a service out to a version.
 
         :param seconds: the time for the roll-out.
         """
-        order = {"service": "engine", "target": target, "durationS": seconds}
+        order = {"service": service, "target": target, "durationS": seconds}
         self.store.put(
-            names.OPERATOR_TOPIC, "rollout/engine", orjson.dumps(order)
+            names.OPERATOR_TOPIC, f"rollout/{service}", orjson.dumps(order)
         )
 
     def put_evacuation(self, zone: str, is_emptied: bool) -> None:
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -33,6 +33,7 @@
     soak_flow,
     soak_notices,
     soak_pressure,
+    soak_rollout,
     soak_zones,
 )
 from wagtailstream_adapter import names
@@ -107,6 +108,7 @@
             self._fleet, self._random, self._notices
         )
         self._pressure = soak_pressure.Pressure(self._fleet, self._random)
+        self._rollout = soak_rollout.RolloutFaults(self._fleet, seed)
         self._sent = 0
         self._is_recovering = False
         self._is_finished = False
@@ -121,7 +123,9 @@
                 for number in range(CALLERS)
             ]
             await asyncio.gather(
-                self._inject(), self._zones.run(self._seconds)
+                self._inject(),
+                self._zones.run(self._seconds),
+                self._rollout.run(self._seconds),
             )
             self.outcome.actions += self._zones.actions
             # Cold endpoints take less until they are warm.
@@ -142,6 +146,7 @@
             *self._flow.list_violations(),
             *self._zones.list_violations(),
             *self._pressure.list_violations(),
+            *self._rollout.list_violations(),
         ):
             self._report_violation(line)
         self._check_recovery()
