Let the soak's other checks see the endpoints of a version on trial

The check of double runs did not see these endpoints while they were on trial either. They stand in a list of their own now, and all checks and plans use both.

--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -72,6 +72,8 @@
         self._directory = directory
         self.store = platform_store.PlatformStore()
         self.endpoints: list[ProxiedEndpoint] = []
+        # Endpoints of a version on trial, which other faults leave alone.
+        self.trial_endpoints: list[ProxiedEndpoint] = []
         self.addresses = [
             f"{_pick_network_prefix()}.{FIRST_ADDRESS + number}"
             for number in range(routers)
@@ -101,6 +103,11 @@
             for address in self.addresses
         ]
 
+    @property
+    def all_endpoints(self) -> list[ProxiedEndpoint]:
+        """All endpoints, also those of a version on trial."""
+        return self.endpoints + self.trial_endpoints
+
     async def start(self) -> None:
         """Start the store and the routers; wait until these are ready."""
         self.store.start()
@@ -124,7 +131,7 @@
             router.send_signal(signal.SIGKILL)
         for router in self.routers:
             await router.wait()
-        for proxied in self.endpoints:
+        for proxied in self.all_endpoints:
             await proxied.route.close()
             await proxied.endpoint.close()
         for route in self.store_routes.values():
--- a/standins/soak.py
+++ b/standins/soak.py
@@ -141,7 +141,7 @@
         self._check_runs()
         for line in (
             *self._notices.list_violations(
-                proxied.endpoint for proxied in self._fleet.endpoints
+                proxied.endpoint for proxied in self._fleet.all_endpoints
             ),
             *self._flow.list_violations(),
             *self._zones.list_violations(),
@@ -456,7 +456,7 @@
 
     def _check_runs(self) -> None:
         runs: collections.Counter[str] = collections.Counter()
-        for proxied in self._fleet.endpoints:
+        for proxied in self._fleet.all_endpoints:
             for arrival in proxied.endpoint.arrivals:
                 runs[arrival.headers.get(names.REQUEST_ID.lower(), "")] += 1
         for request_id in self._unsafe:
--- a/standins/soak_flow.py
+++ b/standins/soak_flow.py
@@ -101,7 +101,7 @@
         """Return the id of a request that gets a plan from any endpoint."""
         self._count += 1
         identity = f"flow-{self._count}"
-        for proxied in self._fleet.endpoints:
+        for proxied in self._fleet.all_endpoints:
             proxied.endpoint.plans_by_request[identity] = plan
         return identity
 
@@ -167,7 +167,7 @@
         identity = self._plan(platform_endpoint.Plan())
         await self._fleet.call(identity, "unsafe", router.address, body=UPLOAD)
         endpoint.read_pause_seconds = 0.0
-        for proxied in self._fleet.endpoints:
+        for proxied in self._fleet.all_endpoints:
             for arrival in proxied.endpoint.arrivals:
                 if arrival.headers.get(names.REQUEST_ID.lower()) == identity:
                     self._check_body(identity, arrival.body, UPLOAD)
--- a/standins/soak_rollout.py
+++ b/standins/soak_rollout.py
@@ -40,7 +40,6 @@
     def __init__(self, fleet: router_fleet.RouterFleet, seed: int) -> None:
         self._fleet = fleet
         self._random = random.Random(f"{seed}-rollout")
-        self._new: list[router_fleet.ProxiedEndpoint] = []
         self._began = 0.0
         self._ended = 0.0
 
@@ -54,7 +53,7 @@
                 f"new-{number}", SERVICE, TARGET
             )
             self._fleet.endpoints.remove(proxied)
-            self._new.append(proxied)
+            self._fleet.trial_endpoints.append(proxied)
         order_seconds = max(MIN_ORDER_SECONDS, ORDER_SHARE * seconds)
         bad_at = self._random.choice(TURNS_BAD_AT) * order_seconds
         self._began = time.monotonic()
@@ -63,14 +62,12 @@
         async with asyncio.TaskGroup() as group:
             odd = group.create_task(self._write_odd_entries())
             await asyncio.sleep(bad_at)
-            for proxied in self._new:
+            for proxied in self._fleet.trial_endpoints:
                 proxied.endpoint.default = BAD
             await asyncio.sleep(order_seconds - bad_at)
             odd.cancel()
-        for proxied in self._new:
+        for proxied in self._fleet.trial_endpoints:
             proxied.endpoint.default = platform_endpoint.Plan()
-        # From now on they are checked like the others.
-        self._fleet.endpoints += self._new
 
     async def _write_odd_entries(self) -> None:
         while True:
@@ -89,10 +86,10 @@
         return [*self._check_exposure(), *self._check_entries()]
 
     def _check_exposure(self) -> list[str]:
-        exposed = sum(map(self._count_requests, self._new))
+        exposed = sum(map(self._count_requests, self._fleet.trial_endpoints))
         requests = sum(
             self._count_requests(proxied)
-            for proxied in self._fleet.endpoints
+            for proxied in self._fleet.all_endpoints
             if proxied.service == SERVICE
         )
         limit = EXPOSURE_SHARE * requests + EXPOSURE_SLACK
