--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -8,14 +8,13 @@
 import orjson
 import pytest
 
-from tests.router import support
+from tests.router import rollout_play
 from wagtailstream_adapter import records
 from wagtailstream_router import (
     directory,
     errors,
     event_log,
     exposure,
-    job,
     peer_report,
     replica,
     rollout,
@@ -51,47 +50,26 @@
     def choose_versions(self, count: int) -> list[str]:
         """Return the version that each of a number of requests goes to."""
         return [
-            self.rollouts.filter(make_job(f"r-{number}"), self.members)[
-                0
-            ].entry.version
+            self.rollouts.filter(
+                rollout_play.make_job(f"r-{number}"), self.members
+            )[0].entry.version
             for number in range(count)
         ]
 
 
-def make_job(identity: str, session: str = "") -> job.Job:
-    call = dataclasses.replace(
-        support.make_stream_request(identity), session=session
-    )
-    route = support.get_route("stream")
-    return job.Job(
-        call, route, "engine", None, 0.0, 1, support.DiscardingReply()
-    )
-
-
-def make_member(identity: str, version: str) -> directory.Member:
-    table = {
-        "service": "engine",
-        "address": "10.0.0.1:80",
-        "zone": "zone-1",
-        "version": version,
-        "slots": 4,
-        "state": "ready",
-        "born": 1,
-    }
-    entry = CODEC.decode_endpoint(identity, orjson.dumps(table))
-    assert entry is not None
-    return directory.Member(entry)
-
-
 def make_harness() -> RolloutHarness:
     copy = replica.Replica()
     copy.reset(store.Page((), 0), time.monotonic())
     log = event_log.MemoryEventLog()
     rollouts = rollout.Rollouts(OWN_START, copy, CODEC, BOUNDS, log)
-    members = [make_member(f"old-{number}", "v1") for number in range(4)]
+    members = [
+        rollout_play.make_member(f"old-{number}", "v1") for number in range(4)
+    ]
     harness = RolloutHarness(copy, rollouts, members, log)
     assert set(harness.choose_versions(3)) == {"v1"}
-    members += [make_member(f"new-{number}", "v2") for number in range(4)]
+    members += [
+        rollout_play.make_member(f"new-{number}", "v2") for number in range(4)
+    ]
     return harness
 
 
@@ -119,7 +97,7 @@
     seen = set()
     for number in range(400):
         chosen = harness.rollouts.filter(
-            make_job(f"r-{number}"), harness.members
+            rollout_play.make_job(f"r-{number}"), harness.members
         )
         if chosen[0].entry.version == "v2":
             seen |= {member.identity for member in chosen}
@@ -130,11 +108,13 @@
     harness = make_harness()
     sessions = [f"session-{number}" for number in range(60)]
     for session in sessions:
-        harness.rollouts.filter(make_job(session, session), harness.members)
+        harness.rollouts.filter(
+            rollout_play.make_job(session, session), harness.members
+        )
     harness.order("v2")
     for session in sessions:
         chosen = harness.rollouts.filter(
-            make_job("x" + session, session), harness.members
+            rollout_play.make_job("x" + session, session), harness.members
         )
         assert chosen[0].entry.version == "v1"
 
@@ -143,11 +123,13 @@
     before, after = make_harness(), make_harness()
     sessions = [f"session-{number}" for number in range(60)]
     for session in sessions:
-        before.rollouts.filter(make_job(session, session), before.members)
+        before.rollouts.filter(
+            rollout_play.make_job(session, session), before.members
+        )
     after.order("v2")
     for session in sessions:
         chosen = after.rollouts.filter(
-            make_job("x" + session, session), after.members
+            rollout_play.make_job("x" + session, session), after.members
         )
         assert chosen[0].entry.version == "v1"
 
@@ -167,7 +149,7 @@
         moved.append(set())
         for session in (f"session-{number}" for number in range(60)):
             chosen = harness.rollouts.filter(
-                make_job("x" + session, session), harness.members
+                rollout_play.make_job("x" + session, session), harness.members
             )
             if chosen[0].entry.version == "v2":
                 moved[-1].add(session)
@@ -196,13 +178,16 @@
 ) -> None:
     new = [m for m in harness.members if m.entry.version == "v2"]
     for session in ("", "session-1"):
-        assert harness.rollouts.filter(make_job("r-1", session), new) == new
+        assert (
+            harness.rollouts.filter(rollout_play.make_job("r-1", session), new)
+            == new
+        )
 
 
 def test_the_log_says_why_a_request_goes_to_a_version(
     harness: RolloutHarness,
 ) -> None:
-    task = make_job("r-1", "session-1")
+    task = rollout_play.make_job("r-1", "session-1")
     for _ in range(2):
         chosen = harness.rollouts.filter(task, harness.members)
     lines = [
@@ -221,8 +206,12 @@
     harness: RolloutHarness,
 ) -> None:
     status_writer = make_status_writer(harness, store.MemoryTopic("status"))
-    harness.rollouts.record_answer(make_job("r"), harness.members[0], GOOD)
-    harness.rollouts.record_answer(make_job("r"), harness.members[-1], FAILED)
+    harness.rollouts.record_answer(
+        rollout_play.make_job("r"), harness.members[0], GOOD
+    )
+    harness.rollouts.record_answer(
+        rollout_play.make_job("r"), harness.members[-1], FAILED
+    )
     for _ in range(2):
         await status_writer.step()
     lines = [
@@ -237,10 +226,12 @@
 
 def test_a_bad_version_is_rolled_back_at_once(harness: RolloutHarness) -> None:
     for _ in range(30):
-        harness.rollouts.record_answer(make_job("r"), harness.members[0], GOOD)
+        harness.rollouts.record_answer(
+            rollout_play.make_job("r"), harness.members[0], GOOD
+        )
     for _ in range(3):
         harness.rollouts.record_answer(
-            make_job("r"), harness.members[-1], FAILED
+            rollout_play.make_job("r"), harness.members[-1], FAILED
         )
     progress = harness.rollouts.progress["engine"]
     assert progress.stage is rollout_state.Stage.ROLLED_BACK
@@ -295,10 +286,14 @@
     for name in names:
         rollouts = instances[name].rollouts
         for _ in range(15):
-            rollouts.record_answer(make_job("r"), members[0], GOOD)
-        rollouts.record_answer(make_job("r"), members[-1], GOOD)
+            rollouts.record_answer(
+                rollout_play.make_job("r"), members[0], GOOD
+            )
+        rollouts.record_answer(rollout_play.make_job("r"), members[-1], GOOD)
         if name != names[-1]:
-            rollouts.record_answer(make_job("r"), members[-1], FAILED)
+            rollouts.record_answer(
+                rollout_play.make_job("r"), members[-1], FAILED
+            )
         exchange_reports(instances.values())
     for boot, name in enumerate(names, 2):
         del instances[name]
@@ -310,7 +305,7 @@
     last = instances[names[0]].rollouts
     new, old = last.progress["engine"].sum_evidence()
     assert (new.good, new.bad, old.good) == (3, 2, 45)
-    last.record_answer(make_job("r"), members[-1], FAILED)
+    last.record_answer(rollout_play.make_job("r"), members[-1], FAILED)
     stage = last.progress["engine"].stage
     assert stage is rollout_state.Stage.ROLLED_BACK
 
@@ -318,7 +313,7 @@
 def test_requests_and_repeats_count_when_they_are_sent(
     harness: RolloutHarness,
 ) -> None:
-    first, again = make_job("r-1"), make_job("r-2")
+    first, again = rollout_play.make_job("r-1"), rollout_play.make_job("r-2")
     again.sent = 1
     harness.rollouts.record_send(first, harness.members[0])
     harness.rollouts.record_send(first, harness.members[-1])
@@ -370,7 +365,7 @@
     topic = store.MemoryTopic("status")
     for _ in range(3):
         harness.rollouts.record_answer(
-            make_job("r"), harness.members[-1], FAILED
+            rollout_play.make_job("r"), harness.members[-1], FAILED
         )
     await make_status_writer(harness, topic).step()
     assert await read_stage(topic) is rollout_state.Stage.ROLLED_BACK
@@ -443,8 +438,10 @@
     """Let good answers come until the order's time is nearly over."""
     for _ in range(30):
         for member in (harness.members[0], harness.members[-1]):
-            harness.rollouts.record_send(make_job("r"), member)
-            harness.rollouts.record_answer(make_job("r"), member, GOOD)
+            harness.rollouts.record_send(rollout_play.make_job("r"), member)
+            harness.rollouts.record_answer(
+                rollout_play.make_job("r"), member, GOOD
+            )
     harness.rollouts.progress["engine"].started_at -= 19.8
 
 
@@ -590,14 +587,16 @@
 
 def order_another(harness: RolloutHarness) -> None:
     """Order v3 while endpoints of the rejected v2 are still there."""
-    harness.members += [make_member(f"next-{n}", "v3") for n in range(2)]
+    harness.members += [
+        rollout_play.make_member(f"next-{n}", "v3") for n in range(2)
+    ]
     harness.order("v3", offset=2)
 
 
 def reject_v2(harness: RolloutHarness) -> None:
     for _ in range(3):
         harness.rollouts.record_answer(
-            make_job("r"), harness.members[-1], FAILED
+            rollout_play.make_job("r"), harness.members[-1], FAILED
         )
     progress = harness.rollouts.progress["engine"]
     assert progress.stage is rollout_state.Stage.ROLLED_BACK
@@ -612,7 +611,7 @@
     del harness.members[:4]
     for session in ("", "session-1"):
         for number in range(50):
-            task = make_job(f"r-{number}", session)
+            task = rollout_play.make_job(f"r-{number}", session)
             for member in harness.rollouts.filter(task, harness.members):
                 assert member.entry.version == "v3"
     settled = harness.rollouts.list_settled("engine", harness.members)
@@ -629,7 +628,7 @@
     exchange_reports([harness, later])
     settled = later.rollouts.list_settled("engine", later.members)
     assert {member.entry.version for member in settled} <= {"v3"}
-    back = [*later.members, make_member("old-9", "v1")]
+    back = [*later.members, rollout_play.make_member("old-9", "v1")]
     settled = later.rollouts.list_settled("engine", back)
     assert {member.entry.version for member in settled} == {"v1"}
 
