Give sessions the full share of a trial again

Cause: the share of sessions in the trial had been halved to spare prefills, and the bound was used to less than its half.

--- a/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
+++ b/packages/wagtailstream-router/wagtailstream_router/rollout_state.py
@@ -220,11 +220,8 @@
 # the users count.
 SESSIONS_MOVE_AT = 0.5 + 0.02
 # The part of the exposure bound that requests get before the handover to the
-# new version.
+# new version; those of sessions from SESSIONS_MOVE_AT on.
 TRIAL_EXPOSURE = 0.9
-# The same for requests of sessions: each session brings its own shared parts,
-# which the new version's few exposed servers have to prefill.
-SESSION_EXPOSURE = 0.45
 
 
 def is_bad(new: Evidence, old: Evidence) -> bool:
@@ -361,11 +358,9 @@
         session is older than the order; so all sessions stay on the old
         version until they may move.
     """
-    if not has_session:
-        return min(1.0, exposure_bound * TRIAL_EXPOSURE)
-    if elapsed_share < SESSIONS_MOVE_AT:
+    if has_session and elapsed_share < SESSIONS_MOVE_AT:
         return 0.0
-    return min(1.0, exposure_bound * SESSION_EXPOSURE)
+    return min(1.0, exposure_bound * TRIAL_EXPOSURE)
 
 
 def count_exposed(exposure: float, server_count: int) -> int:
--- a/tests/router/test_store_era.py
+++ b/tests/router/test_store_era.py
@@ -10,7 +10,7 @@
 import pytest_asyncio
 
 from standins import platform_store
-from tests.router import support, test_directory, test_rollout
+from tests.router import rollout_play, support, test_directory
 from wagtailstream_adapter import log_store, names, records
 from wagtailstream_router import (
     active_configuration,
@@ -67,12 +67,12 @@
     def count_exposed(self, target: str) -> int:
         """Return how many of 400 requests go to a version."""
         members = [
-            test_rollout.make_member(f"{version}-{number}", version)
+            rollout_play.make_member(f"{version}-{number}", version)
             for version in ("v1", target)
             for number in range(4)
         ]
         chosen = [
-            self.rollouts.filter(test_rollout.make_job(f"r-{number}"), members)
+            self.rollouts.filter(rollout_play.make_job(f"r-{number}"), members)
             for number in range(400)
         ]
         return sum(choice[0].entry.version == target for choice in chosen)
