Refuse a request that crashes endpoints for as long as it comes

Callers saw: a request that had crashed three endpoints was let through again 30 s after its crashes, by all instances at the same time.

Cause: a crash was forgotten after 30 s whether or not its request still came, and a part of a prompt was let through two minutes after each crash. The same timers let a request that came every 40 s never reach the limit at all. On related paths: an endpoint that came back under its id was counted once, however often it crashed; the crashes that an instance had observed went with its process, as peers replaced what it had reported by the empty report of the new start; many new suspects displaced the older ones, refused or not.

Change: suspects.py is a bounded table for both requests and parts. Nothing in it ends by time. An answer ends a suspicion; refused and other suspects have room of their own, so that new suspects displace none that is refused, and of each the one that came least recently goes first. Crashes count by the start of an endpoint. Instances merge what peers report and pass it on, and announce all of it to a peer that starts or was silent. A crash that another refused request explains does not count, up to the fourth. A request whose crashes all fell into one second, and a blocked part, are tried again by one instance, one attempt at a time; the first such crash of a request and the second of a part are final.

Why it works: whether a request is let through no longer depends on when it came last, and what is known survives each single process.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -41,6 +41,7 @@
     settings_watch,
     state_exchange,
     store,
+    trials,
     warm_prompts,
     wire,
 )
@@ -163,9 +164,10 @@
             topics.status, self._rollouts, records, log
         )
         self._crashes = crash_board.CrashBoard(
-            part_board.PartBoard(log),
+            part_board.PartBoard(log, trials.Trials(self._is_first_by_name)),
             log,
             lambda: self._gossip.send(is_urgent=True),
+            trials.Trials(self._is_first_by_name),
         )
         self._warm = warm_prompts.WarmPrompts()
         self._prices = time_price.TimePrices()
@@ -338,6 +340,14 @@
             random.Random(),
         )
 
+    def _is_first_by_name(self) -> bool:
+        """Return whether no live peer has a name before this instance's."""
+        return all(
+            self._settings.name < peer.report.name
+            for peer in self._gossip.alive
+            if not peer.report.is_draining
+        )
+
     def _find_service(self, name: str) -> configuration.Service | None:
         value = self._active_configuration.get()
         return None if value is None else value.services.get(name)
--- a/packages/wagtailstream-router/wagtailstream_router/crash_board.py
+++ b/packages/wagtailstream-router/wagtailstream_router/crash_board.py
@@ -1,10 +1,15 @@
 """Counts the endpoints that crashed while they ran a request.
 
 Some requests crash every endpoint that runs them, and their callers retry
-them at any instance. Requests are identified by a digest of host, path, tenant
-and body. A broken answer (a cut) counts as a crash only if the endpoint is
-unreachable or gone within `PROOF_SECONDS`. A successful answer to a request
-with the same digest clears its crashes.
+them at any instance and at any interval. Requests are identified by a digest
+of host, path, tenant and body. A broken answer (a cut) counts as a crash only
+if the endpoint is unreachable or gone within `PROOF_SECONDS`. A successful
+answer to a request with the same digest clears its crashes; nothing is
+forgotten after a time.
+
+A request whose crashes all fell into one second is tried once more after
+`TRIAL_SECONDS`, by one instance: several endpoints may have failed together
+for another reason.
 """
 
 import collections.abc
@@ -13,27 +18,49 @@
 
 import xxhash
 
-from wagtailstream_router import event_log, part_board, request
+from wagtailstream_router import (
+    event_log,
+    part_board,
+    request,
+    suspects,
+    trials,
+)
 
 # Number of crashes from which a request is no longer sent to any endpoint (a
 # rule of the users' platform).
 CRASH_LIMIT = 3
+# From this number on, crashes that another request explains count as well: a
+# sound request that is in flight beside the same one so often is rare, and two
+# that crash endpoints must not excuse each other.
+FINAL_CRASHES = CRASH_LIMIT + 1
 # A cut counts as a crash if its endpoint is unreachable within this time. A
 # crashed endpoint needs some seconds longer to restart.
 PROOF_SECONDS = 2.0
-# How long a crash counts, so that a request that met three endpoints with
-# faults of their own is not refused forever.
-KEEP_SECONDS = 30.0
-# Upper bound on the stored cuts and on the stored crashes; the newest stay.
-MAX_KEPT = 256
+# Crashes within this time may be one failure of several endpoints, under
+# copies of a sound request.
+COMMON_FAILURE_SECONDS = 1.0
+# When a request with no other crashes is tried once more.
+TRIAL_SECONDS = 30.0
+# Upper bound on the stored cuts; the newest stay.
+MAX_CUTS = 256
+# Refused requests are remembered by the thousand, as each of them costs
+# endpoints if it is forgotten.
+BOUNDS = suspects.Bounds(
+    refused=1024,
+    suspects=1024,
+    answers=1024,
+    crashes=FINAL_CRASHES,
+    reported=64,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash, or a possible one, of an endpoint while it ran a request.
+class Cut:
+    """A broken answer, which may be due to a crash of the endpoint.
 
     :param digest: the digest of the request.
     :param endpoint: the endpoint's id.
+    :param born_ms: the Unix time of the endpoint's start.
     :param at: the time of the cut, by the monotonic clock.
     :param parts: the prompt parts that may be the cause.
     :param has_begun: whether the answer had begun.
@@ -41,10 +68,16 @@
 
     digest: int
     endpoint: str
+    born_ms: int
     at: float
     parts: tuple[str, ...] = ()
     has_begun: bool = False
 
+    @property
+    def start(self) -> str:
+        """The start of the endpoint; its id may be used again."""
+        return f"{self.endpoint}/{self.born_ms}"
+
 
 def request_digest(call: request.Request, tenant: str) -> int:
     """Return the digest of a request; it is the same for all its retries.
@@ -61,8 +94,10 @@
     """The crashes observed by this instance and those reported by its peers.
 
     :param parts: finds prompt parts that crash endpoints.
-    :param log: gets a line for each crash.
+    :param log: gets a line for each crash, and for each request that is
+        refused from then on.
     :param on_change: called when this instance observes a crash.
+    :param trials_: grants the attempts of requests that may be sound.
     """
 
     def __init__(
@@ -70,14 +105,14 @@
         parts: part_board.PartBoard,
         log: event_log.EventLog,
         on_change: collections.abc.Callable[[], object] = lambda: None,
+        trials_: trials.Trials | None = None,
     ) -> None:
         self._parts = parts
+        self._trials = trials_ or trials.Trials()
         self._log = log
         self._on_change = on_change
-        self._cuts: list[Crash] = []
-        self._crashes: dict[tuple[int, str], Crash] = {}
-        self._peer_crashes: dict[str, tuple[Crash, ...]] = {}
-        self._answered_at: dict[int, float] = {}
+        self._cuts: list[Cut] = []
+        self._table = suspects.SuspectTable[int](BOUNDS)
         self._total = 0
 
     @property
@@ -88,35 +123,36 @@
     @property
     def has_entries(self) -> bool:
         """Whether any cut or crash is stored; if not, no digest is needed."""
-        return bool(self._cuts or self._crashes or self._peer_crashes)
-
-    @property
-    def crashes(self) -> tuple[Crash, ...]:
-        """The crashes observed by this instance that still count."""
-        self._remove_expired()
-        return tuple(self._crashes.values())
+        return bool(self._cuts) or self._table.has_suspects
 
     @property
     def parts(self) -> part_board.PartBoard:
         """The prompt parts that are suspected of crashes."""
         return self._parts
 
+    @property
+    def refused(self) -> collections.abc.Mapping[int, dict[str, float]]:
+        """The crashes of each refused request, by start of the endpoint."""
+        return self._table.refused
+
     def record_cut(
         self,
         digest: int,
         endpoint: str,
         parts: tuple[str, ...] = (),
         has_begun: bool = False,
+        born_ms: int = 0,
     ) -> None:
         """Record that an endpoint broke off its answer to a request.
 
         :param parts: the prompt parts that may be the cause if it crashed.
         :param has_begun: whether the answer had begun.
+        :param born_ms: the Unix time of the endpoint's start.
         """
         self._cuts.append(
-            Crash(digest, endpoint, time.monotonic(), parts, has_begun)
+            Cut(digest, endpoint, born_ms, time.monotonic(), parts, has_begun)
         )
-        del self._cuts[:-MAX_KEPT]
+        del self._cuts[:-MAX_CUTS]
 
     def record_members(
         self, endpoints: collections.abc.Container[str]
@@ -132,15 +168,12 @@
     def record_lost(self, endpoint: str) -> None:
         """Count the recent cuts of an unreachable endpoint as crashes."""
         since = time.monotonic() - PROOF_SECONDS
-        proved = [
-            cut
-            for cut in self._cuts
-            if cut.endpoint == endpoint and cut.at >= since
-        ]
+        self._cuts = [cut for cut in self._cuts if cut.at >= since]
+        proved = [cut for cut in self._cuts if cut.endpoint == endpoint]
         for cut in proved:
             self._cuts.remove(cut)
             self._total += 1
-            self._crashes[cut.digest, cut.endpoint] = cut
+            self._table.add_crash(cut.digest, cut.start, cut.at)
             self._log.write(
                 "endpoint_crashed",
                 endpoint=endpoint,
@@ -149,10 +182,11 @@
                 crashes=self.count(cut.digest),
             )
         if proved:
+            self._update_refused()
             self._record_suspects(proved)
             self._on_change()
 
-    def _record_suspects(self, proved: list[Crash]) -> None:
+    def _record_suspects(self, proved: list[Cut]) -> None:
         """Suspect the parts of the requests that may have caused a crash.
 
         Those whose answers had not begun, since they were queued or the head
@@ -160,7 +194,7 @@
         """
         begun = [cut for cut in proved if cut.has_begun]
         for cut in begun or proved:
-            self._parts.record_crash(cut.parts, cut.endpoint, cut.at)
+            self._parts.record_crash(cut.parts, cut.start, cut.at)
 
     def record_answer(self, digest: int, endpoint: str) -> None:
         """Record that an endpoint answered a request.
@@ -169,62 +203,76 @@
         the request.
         """
         self._cuts = [cut for cut in self._cuts if cut.endpoint != endpoint]
-        self._answered_at[digest] = time.monotonic()
-        for key in [key for key in self._crashes if key[0] == digest]:
-            del self._crashes[key]
+        if self._table.record_answer(digest):
+            self._update_refused()
 
-    def set_peer_crashes(
-        self, peer: str, crashes: collections.abc.Iterable[Crash]
-    ) -> None:
-        """Replace the crashes that a peer reported.
+    def count(self, digest: int) -> int:
+        """Return how many endpoints crashed while running a request.
 
-        :param peer: the peer's name.
-        :param crashes: the crashes that it observed and that still count.
+        Crashes before the last answer to the request are left out. A request
+        that crashes a fourth endpoint is not counted further.
         """
-        kept = tuple(crashes)
-        if kept:
-            self._peer_crashes[peer] = kept
-        else:
-            self._peer_crashes.pop(peer, None)
+        return len(self._table.crashes_of(digest))
 
-    def count(self, digest: int) -> int:
-        """Return how many endpoints crashed while running a request.
+    def is_refused(self, digest: int, identity: str = "") -> bool:
+        """Return whether a request that came again is not to be sent.
 
-        Crashes older than `KEEP_SECONDS` or than the last answer to the
-        request are left out.
+        :param identity: the id of this attempt of its caller.
         """
-        self._remove_expired()
-        since = self._answered_at.get(digest, float("-inf"))
-        peer_crashes = [
-            crash
-            for crashes in self._peer_crashes.values()
-            for crash in crashes
-        ]
-        return len(
-            {
-                crash.endpoint
-                for crash in (*self._crashes.values(), *peer_crashes)
-                if crash.digest == digest and crash.at > since
-            }
+        self._table.record_arrival(digest)
+        crashes = self._table.refused.get(digest)
+        if crashes is None:
+            return False
+        newest = max(crashes.values())
+        is_final = newest - min(crashes.values()) >= COMMON_FAILURE_SECONDS
+        is_due = time.monotonic() >= newest + TRIAL_SECONDS
+        return is_final or not (
+            is_due and self._trials.grant(digest, identity)
         )
 
-    def is_refused(self, digest: int) -> bool:
-        """Return whether a request has reached `CRASH_LIMIT`."""
-        return self.count(digest) >= CRASH_LIMIT
-
-    def _remove_expired(self) -> None:
-        oldest = time.monotonic() - KEEP_SECONDS
-        kept = [crash for crash in self._crashes.values() if crash.at > oldest]
-        self._crashes = {
-            (crash.digest, crash.endpoint): crash for crash in kept[-MAX_KEPT:]
-        }
-        self._peer_crashes = {
-            peer: crashes
-            for peer, crashes in self._peer_crashes.items()
-            if any(crash.at > oldest for crash in crashes)
-        }
-        self._answered_at = {
-            digest: at
-            for digest, at in self._answered_at.items()
-            if at > oldest
-        }
+    def is_cleared(self, digest: int) -> bool:
+        """Return whether an answer ended the suspicion of a request."""
+        return self._table.is_cleared(digest)
+
+    def announce_all(self) -> None:
+        """Announce all crashes and parts to a peer that may know none."""
+        self._table.announce_all()
+        self._parts.announce_all()
+
+    def make_report(self) -> suspects.Report[int]:
+        """Return what peers need to know of requests."""
+        return self._table.make_report()
+
+    def merge_report(self, report: suspects.Report[int]) -> None:
+        """Merge what a peer or the store reported of requests."""
+        if self._table.merge_report(report):
+            self._update_refused()
+
+    def _update_refused(self) -> None:
+        """Refuse the requests that explain the crashes best.
+
+        A crash that a refused request explains does not count against others,
+        which were in flight beside it. Of requests that share all their
+        crashes the first one is refused, and an answer to the other, or one
+        more crash of it, tells them apart.
+        """
+        crashes = self._table.list_suspects(CRASH_LIMIT)
+        refused = set()
+        explained: set[str] = set()
+        for digest in sorted(
+            crashes, key=lambda key: (-len(crashes[key]), key)
+        ):
+            starts = crashes[digest].keys()
+            if len(starts) < FINAL_CRASHES and (
+                len(starts - explained) < CRASH_LIMIT
+            ):
+                continue
+            refused.add(digest)
+            explained |= starts
+        for digest in refused - self._table.refused.keys():
+            self._log.write(
+                "request_refused",
+                digest=f"{digest:016x}",
+                crashes=sorted(crashes[digest]),
+            )
+        self._table.set_refused(refused)
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -274,6 +274,7 @@
                 member.identity,
                 _list_suspects(task, error),
                 has_begun=error.answered_seconds is not None,
+                born_ms=member.entry.born_ms,
             )
             self._start_probe(member)
         elif error.fault is health.Fault.UNREACHABLE:
@@ -379,7 +380,9 @@
             self._log.write_routine(
                 "part_refused", request=task.call.identity, part=blocked
             )
-        return bool(blocked) or self._crashes.is_refused(digest)
+        return bool(blocked) or self._crashes.is_refused(
+            digest, task.call.identity
+        )
 
     def may_send_again(self, task: job.Job, fault: health.Fault) -> bool:
         """Return whether a failed request may be sent again; count the retry.
--- a/packages/wagtailstream-router/wagtailstream_router/part_board.py
+++ b/packages/wagtailstream-router/wagtailstream_router/part_board.py
@@ -4,7 +4,9 @@
 sound ones beside it. A part is suspected if a server crashed when it had just
 begun to answer a request with it. A whole answer to a request with the part,
 at any instance, shows that it is sound. A part that is suspected at
-`CRASH_LIMIT` servers is blocked: no more requests with it are sent.
+`CRASH_LIMIT` servers is blocked: no more requests with it are sent. Once it
+has not crashed any for `BLOCK_SECONDS`, single requests try whether it is
+sound; after `FINAL_TRIALS` crashes under them it stays blocked.
 
 The last part of a prompt belongs to the request alone and is not considered.
 """
@@ -12,11 +14,12 @@
 import collections
 import collections.abc
 import dataclasses
+import itertools
 import time
 
 import xxhash
 
-from wagtailstream_router import event_log, request
+from wagtailstream_router import event_log, request, suspects, trials
 
 # Number of crashed servers from which a part is blocked. Five are the users'
 # bound; two remain for crashes under requests that are already on their way.
@@ -28,25 +31,28 @@
 BEGIN_SECONDS = 1.0
 # How long a whole answer shows that its parts are sound.
 SOUND_SECONDS = 60.0
-# How long a part stays blocked after its last crash. Then requests with it are
-# tried again; one more crash blocks it once more.
+# How long a part stays blocked after its last crash. Then single requests with
+# it are tried again; one more crash blocks it once more.
 BLOCK_SECONDS = 120.0
-# How long crashes count.
-KEEP_SECONDS = 2.0 * BLOCK_SECONDS
-# Upper bounds of the parts that are stored: suspected ones, and all others.
-MAX_SUSPECTS = 256
+# Crashes so long after the last one happened under such a request; the ages of
+# crashes that peers report are not exact.
+TRIAL_GAP_SECONDS = BLOCK_SECONDS / 2.0
+# Number of those from which a part is blocked for as long as it comes. The
+# users' bound leaves one more for requests that are on their way.
+FINAL_TRIALS = 2
+# Upper bound of the parts of which the attempts and the answers are stored.
 MAX_PARTS = 4096
-# Upper bound of the crashes that are stored for a part; the newest stay.
-MAX_CRASHES = 16
-# Upper bound of the parts in one message; those with most crashes go first.
-MAX_REPORTED = 16
-# How long peers are told that a part which they suspect is sound.
-ANNOUNCE_SECONDS = 3.0
+# Suspected parts have up to sixteen crashes in one message.
+BOUNDS = suspects.Bounds(
+    refused=256,
+    suspects=256,
+    answers=MAX_PARTS,
+    crashes=16,
+    reported=16,
+)
 # Longer ids are replaced by a hash, so that the size of messages is bounded.
 MAX_ID_CHARS = 32
 
-Crashes = dict[str, float]
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Suspicion:
@@ -54,7 +60,7 @@
 
     :param part: the part.
     :param sent: the most attempts with it that any one instance made.
-    :param crash_ages: the time since the crash of each server, by its id.
+    :param crash_ages: the time since the crash of each start of a server.
     """
 
     part: str
@@ -67,11 +73,12 @@
     """What an instance tells its peers about prompt parts.
 
     :param suspicions: the parts that it suspects.
-    :param sound: parts that peers suspect and it knows to be sound.
+    :param sound: the time since the last answer with parts that peers suspect
+        or suspected.
     """
 
     suspicions: tuple[Suspicion, ...] = ()
-    sound: tuple[str, ...] = ()
+    sound: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def list_parts(call: request.Request) -> tuple[str, ...]:
@@ -88,26 +95,32 @@
     """The prompt parts that this instance and its peers suspect.
 
     :param log: gets a line when a part is blocked or found sound.
+    :param trials_: grants the attempts that try whether a part is sound.
     """
 
-    def __init__(self, log: event_log.EventLog) -> None:
+    def __init__(
+        self,
+        log: event_log.EventLog,
+        trials_: trials.Trials | None = None,
+    ) -> None:
         self._log = log
-        self._suspects: dict[str, Crashes] = {}
-        self._blocked: frozenset[str] = frozenset()
+        self._trials = trials_ or trials.Trials()
+        self._table = suspects.SuspectTable[str](BOUNDS, SOUND_SECONDS)
         # The crashes of each suspect that no other part explains better.
         self._unexplained: dict[str, int] = {}
         self._sent: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
-        self._sound_at: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
-        self._announced_until: dict[str, float] = {}
 
     @property
     def has_suspects(self) -> bool:
         """Whether any part is suspected."""
-        return bool(self._suspects)
+        return self._table.has_suspects
+
+    @property
+    def blocked(self) -> collections.abc.Mapping[str, dict[str, float]]:
+        """The crashes of each blocked part, by start of the server."""
+        return self._table.refused
 
     def record_send(self, call: request.Request) -> None:
         """Count an attempt to answer a request."""
@@ -122,53 +135,37 @@
 
     def record_answer(self, call: request.Request) -> None:
         """Record a whole answer: the parts of its prompt are sound."""
-        for part in list_parts(call):
-            if part in self._suspects:
-                self._announce(part)
-            self._set_sound(part)
-
-    def _announce(self, part: str) -> None:
-        self._announced_until[part] = time.monotonic() + ANNOUNCE_SECONDS
-
-    def _set_sound(self, part: str) -> None:
-        self._sound_at[part] = time.monotonic()
-        self._sound_at.move_to_end(part)
-        while len(self._sound_at) > MAX_PARTS:
-            self._sound_at.popitem(last=False)
-        if self._suspects.pop(part, None) is not None:
-            self._log.write("part_cleared", part=part)
+        cleared = [
+            part
+            for part in list_parts(call)
+            if self._table.record_answer(part)
+        ]
+        self._log_cleared(cleared)
+        if cleared:
             self._update_blocked()
 
-    def _is_sound(self, part: str) -> bool:
-        since = time.monotonic() - SOUND_SECONDS
-        return self._sound_at.get(part, since) > since
+    def _log_cleared(self, parts: collections.abc.Iterable[str]) -> None:
+        for part in parts:
+            if not self._table.crashes_of(part):
+                self._log.write("part_cleared", part=part)
 
     def record_crash(
-        self, parts: collections.abc.Iterable[str], endpoint: str, at: float
+        self, parts: collections.abc.Iterable[str], start: str, at: float
     ) -> None:
         """Suspect the parts of a request whose answer had just begun.
 
         :param parts: the parts of its prompt.
-        :param endpoint: the id of the server that crashed.
+        :param start: the start of the server that crashed.
         :param at: when it crashed, by the monotonic clock.
         """
         for part in parts:
-            self._add_crash(part, endpoint, at)
+            self._table.add_crash(part, start, at)
         self._update_blocked()
 
-    def _add_crash(self, part: str, endpoint: str, at: float) -> None:
-        if self._is_sound(part) or at <= time.monotonic() - KEEP_SECONDS:
-            return
-        crashes = self._suspects.setdefault(part, {})
-        # Peers pass crashes on with a delay; the earliest time is the best.
-        crashes[endpoint] = min(at, crashes.get(endpoint, at))
-        if len(crashes) > MAX_CRASHES:
-            del crashes[min(crashes, key=lambda name: crashes[name])]
-
     def is_near_limit(self, call: request.Request) -> bool:
         """Return whether one more crash may block a request."""
         return any(
-            len(self._suspects.get(part, ())) >= REPEAT_CRASH_LIMIT - 1
+            len(self._table.crashes_of(part)) >= REPEAT_CRASH_LIMIT - 1
             for part in list_parts(call)
         )
 
@@ -177,49 +174,71 @@
 
         :returns: the part; "" if the request may be sent.
         """
-        self._remove_expired()
         for part in list_parts(call):
-            if part in self._blocked or (
-                is_repeat
-                and self._unexplained.get(part, 0) >= REPEAT_CRASH_LIMIT
+            self._table.record_arrival(part)
+        for part in list_parts(call):
+            if part in self._table.refused:
+                if not self._may_try(part, call.identity):
+                    return part
+            elif is_repeat and (
+                self._unexplained.get(part, 0) >= REPEAT_CRASH_LIMIT
             ):
                 return part
         return ""
 
+    def _may_try(self, part: str, identity: str) -> bool:
+        """Return whether a request may try if a blocked part is sound."""
+        times = sorted(self._table.refused[part].values())
+        if time.monotonic() < times[-1] + BLOCK_SECONDS:
+            return False
+        crashed_trials = sum(
+            later - earlier >= TRIAL_GAP_SECONDS
+            for earlier, later in itertools.pairwise(times)
+        )
+        return crashed_trials < FINAL_TRIALS and self._trials.grant(
+            part, identity
+        )
+
+    def is_cleared(self, part: str) -> bool:
+        """Return whether an answer ended the suspicion of a part."""
+        return self._table.is_cleared(part)
+
+    def announce_all(self) -> None:
+        """Announce all suspected parts to a peer that may know none."""
+        self._table.announce_all()
+
     def make_report(self) -> PartsReport:
         """Return what peers need to know."""
-        self._remove_expired()
-        now = time.monotonic()
-        ranked = sorted(self._suspects.items(), key=lambda item: -len(item[1]))
+        report = self._table.make_report()
         return PartsReport(
             tuple(
-                Suspicion(
-                    part,
-                    self._sent.get(part, 0),
-                    {endpoint: now - at for endpoint, at in crashes.items()},
-                )
-                for part, crashes in ranked[:MAX_REPORTED]
+                Suspicion(part, self._sent.get(part, 0), ages)
+                for part, ages in report.crash_ages.items()
             ),
-            tuple(self._announced_until)[:MAX_REPORTED],
+            report.answer_ages,
         )
 
     def merge_report(self, report: PartsReport) -> None:
-        """Merge what a peer told."""
-        now = time.monotonic()
-        for part in report.sound:
-            if not self._is_sound(part):
-                self._set_sound(part)
+        """Merge what a peer or the store reported."""
+        known = [part for part in report.sound if self._table.crashes_of(part)]
         for suspicion in report.suspicions:
-            if self._is_sound(suspicion.part):
-                self._announce(suspicion.part)
-                continue
-            self._set_sent(
-                suspicion.part,
-                max(suspicion.sent, self._sent.get(suspicion.part, 0)),
+            if not self._table.is_sound(suspicion.part):
+                self._set_sent(
+                    suspicion.part,
+                    max(suspicion.sent, self._sent.get(suspicion.part, 0)),
+                )
+        is_changed = self._table.merge_report(
+            suspects.Report(
+                {
+                    suspicion.part: suspicion.crash_ages
+                    for suspicion in report.suspicions
+                },
+                report.sound,
             )
-            for endpoint, age in suspicion.crash_ages.items():
-                self._add_crash(suspicion.part, endpoint, now - age)
-        self._update_blocked()
+        )
+        if is_changed:
+            self._log_cleared(known)
+            self._update_blocked()
 
     def _update_blocked(self) -> None:
         """Block the parts that explain the crashes best.
@@ -231,8 +250,9 @@
         unexplained = {}
         left = {
             part: set(crashes)
-            for part, crashes in self._suspects.items()
-            if len(crashes) >= REPEAT_CRASH_LIMIT
+            for part, crashes in self._table.list_suspects(
+                REPEAT_CRASH_LIMIT
+            ).items()
         }
         while left:
             part = max(left, key=lambda name: self._rank(name, left[name]))
@@ -240,54 +260,25 @@
             unexplained[part] = len(explained)
             if len(explained) < CRASH_LIMIT:
                 continue
-            for endpoints in left.values():
-                endpoints -= explained
-            if not self._is_over(part):
-                blocked.add(part)
-        for part in blocked - self._blocked:
+            for starts in left.values():
+                starts -= explained
+            blocked.add(part)
+        for part in blocked - self._table.refused.keys():
             self._log.write(
                 "part_blocked",
                 part=part,
-                crashes=sorted(self._suspects[part]),
+                crashes=sorted(self._table.crashes_of(part)),
                 sent=self._sent.get(part, 0),
             )
-        self._blocked = frozenset(blocked)
+        self._table.set_refused(blocked)
         self._unexplained = unexplained
 
-    def _rank(self, part: str, endpoints: set[str]) -> tuple[bool, float, int]:
+    def _rank(self, part: str, starts: set[str]) -> tuple[bool, float, int]:
         """Return how well a part explains the crashes of servers.
 
         A part that is in most requests is in flight at most crashes, too; so
         its crashes are compared with the attempts that were made with it.
         """
-        count = len(endpoints)
+        count = len(starts)
         attempts = max(1, count + self._sent.get(part, 0))
         return count >= CRASH_LIMIT, count / attempts, count
-
-    def _is_over(self, part: str) -> bool:
-        newest = max(self._suspects[part].values())
-        return newest <= time.monotonic() - BLOCK_SECONDS
-
-    def _remove_expired(self) -> None:
-        now = time.monotonic()
-        self._announced_until = {
-            part: until
-            for part, until in self._announced_until.items()
-            if until > now
-        }
-        if not self._suspects:
-            return
-        kept = {
-            part: {
-                endpoint: at
-                for endpoint, at in crashes.items()
-                if at > now - KEEP_SECONDS
-            }
-            for part, crashes in self._suspects.items()
-        }
-        newest = sorted(
-            (part for part, crashes in kept.items() if crashes),
-            key=lambda part: max(kept[part].values()),
-        )
-        self._suspects = {part: kept[part] for part in newest[-MAX_SUSPECTS:]}
-        self._update_blocked()
--- a/packages/wagtailstream-router/wagtailstream_router/peer_report.py
+++ b/packages/wagtailstream-router/wagtailstream_router/peer_report.py
@@ -7,14 +7,20 @@
 
 import orjson
 
-from wagtailstream_router import lag, part_board, rollout_state, store
+from wagtailstream_router import (
+    lag,
+    part_board,
+    rollout_state,
+    store,
+    suspects,
+)
 from wagtailstream_router.engines import engine_speed
 from wagtailstream_router.instance import strain as instance_strain
 from wagtailstream_router.zones import cold_start
 
 # The first field of a message. Raise it with each change of the fields:
 # messages of instances of another release are ignored, not misread.
-MESSAGE_FORMAT = 9
+MESSAGE_FORMAT = 10
 # zlib's fastest level. Messages are compressed at all because bytes between
 # zones cost money.
 COMPRESSION_LEVEL = 1
@@ -79,20 +85,6 @@
     age_seconds: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A crash of an endpoint while it ran a request.
-
-    :param digest: the digest of the request.
-    :param endpoint: the endpoint's id.
-    :param age_seconds: the time since the crash.
-    """
-
-    digest: int
-    endpoint: str
-    age_seconds: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LimitReport:
     """The limit that an instance received from an endpoint.
@@ -122,7 +114,7 @@
     :param warm: pairs of an endpoint's id and the hash of a prompt part that
         it sent there since the last message.
     :param copies: its copies of the store's topics.
-    :param crashes: the crashes that it observed.
+    :param crashes: the crashes of endpoints, by the digest of the request.
     :param parts: the prompt parts that it suspects or knows to be sound.
     :param limits: the limits that it received, by endpoint.
     :param leaving: the id and the Unix time in ms of the start of each
@@ -148,7 +140,7 @@
     peers: tuple[str, ...]
     warm: tuple[tuple[str, int], ...]
     copies: tuple[CopyReport, ...]
-    crashes: tuple[CrashReport, ...] = ()
+    crashes: suspects.Report[int] = suspects.Report()
     parts: part_board.PartsReport = part_board.PartsReport()
     limits: dict[str, LimitReport] = dataclasses.field(default_factory=dict)
     leaving: tuple[tuple[str, int], ...] = ()
@@ -199,8 +191,12 @@
                 for copy in report.copies
             ],
             [
-                [crash.digest, crash.endpoint, round(crash.age_seconds, 3)]
-                for crash in report.crashes
+                [digest, _round_ages(ages)]
+                for digest, ages in report.crashes.crash_ages.items()
+            ],
+            [
+                [digest, round(age, 3)]
+                for digest, age in report.crashes.answer_ages.items()
             ],
             [
                 [
@@ -210,7 +206,7 @@
                 ]
                 for suspicion in report.parts.suspicions
             ],
-            report.parts.sound,
+            _round_ages(report.parts.sound),
             {
                 identity: [limit.per_second, round(limit.age_seconds, 3)]
                 for identity, limit in report.limits.items()
@@ -237,7 +233,11 @@
 
 
 def _round_ages(ages: dict[str, float]) -> dict[str, float]:
-    return {endpoint: round(age, 3) for endpoint, age in ages.items()}
+    return {name: round(age, 3) for name, age in ages.items()}
+
+
+def _decode_ages(ages: dict[typing.Any, typing.Any]) -> dict[str, float]:
+    return {str(name): float(age) for name, age in ages.items()}
 
 
 def _decompress(data: bytes) -> bytes:
@@ -321,6 +321,7 @@
             warm,
             copies,
             crashes,
+            answers,
             suspicions,
             sound,
             limits,
@@ -371,23 +372,20 @@
                 )
                 for topic, era, end, changed, age in copies
             ),
-            tuple(
-                CrashReport(int(digest), str(endpoint), float(age))
-                for digest, endpoint, age in crashes
+            suspects.Report(
+                {int(digest): _decode_ages(ages) for digest, ages in crashes},
+                {int(digest): float(age) for digest, age in answers},
             ),
             part_board.PartsReport(
                 tuple(
                     part_board.Suspicion(
                         str(part),
                         int(sent),
-                        {
-                            str(endpoint): float(age)
-                            for endpoint, age in ages.items()
-                        },
+                        _decode_ages(ages),
                     )
                     for part, sent, ages in suspicions
                 ),
-                tuple(map(str, sound)),
+                _decode_ages(sound),
             ),
             {
                 str(identity): _decode_limit(per_second, age)
--- a/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/state_exchange.py
@@ -80,6 +80,8 @@
         self._read_strain = read_strain
         self.is_draining = False
         self._merged_at = float("-inf")
+        # The starts of the live peers that all crashes were announced to.
+        self._known_boots: dict[str, int] = {}
 
     def make_report(
         self, sequence: int, peers: tuple[str, ...]
@@ -104,7 +106,7 @@
             peers,
             tuple(state.warm.drain_unsent()),
             self._list_copies(),
-            self._list_crashes(),
+            state.crashes.make_report(),
             state.crashes.parts.make_report(),
             self._list_limits(),
             self._list_leaving(),
@@ -171,15 +173,6 @@
             if follower_.copy.is_loaded
         )
 
-    def _list_crashes(self) -> tuple[peer_report.CrashReport, ...]:
-        now = time.monotonic()
-        return tuple(
-            peer_report.CrashReport(
-                crash.digest, crash.endpoint, now - crash.at
-            )
-            for crash in self._state.crashes.crashes
-        )
-
     def handle_report(self, report: peer_report.PeerReport | None) -> None:
         """Apply a peer's message, and refresh the loads of all peers.
 
@@ -204,6 +197,12 @@
             )
         )
         if report is None:
+            names = {peer.report.name for peer in alive}
+            self._known_boots = {
+                name: boot
+                for name, boot in self._known_boots.items()
+                if name in names
+            }
             return
         state.share.record_heard(report.name, report.peers)
         state.warm.add_peer_entries(report.warm)
@@ -222,15 +221,15 @@
         )
         state.members.merge_peer_leaving(report.leaving)
         state.members.merge_peer_cold(report.cold)
-        state.crashes.set_peer_crashes(
-            report.name,
-            [
-                crash_board.Crash(
-                    crash.digest, crash.endpoint, now - crash.age_seconds
-                )
-                for crash in report.crashes
-            ],
-        )
+        state.crashes.merge_report(report.crashes)
+        self._greet(report)
+
+    def _greet(self, report: peer_report.PeerReport) -> None:
+        """Announce all crashes if a peer has started or was silent."""
+        if self._known_boots.get(report.name) == report.boot:
+            return
+        self._known_boots[report.name] = report.boot
+        self._state.crashes.announce_all()
 
     def _merge_room(self, alive: list[gossip.Peer], is_urgent: bool) -> None:
         """Replace what the live peers hold at endpoints, and their uses.
--- a/tests/router/admission/test_reports.py
+++ b/tests/router/admission/test_reports.py
@@ -25,10 +25,10 @@
 
 def test_a_message_of_another_format_is_not_misread() -> None:
     data = peer_report.encode(test_peers.REPORT)
-    assert peer_report.MESSAGE_FORMAT == 9
+    assert peer_report.MESSAGE_FORMAT == 10
     rows = peer_report._decompress(data)
-    old = rows.replace(b"[9,", b"[8,", 1)
-    with pytest.raises(ValueError, match="format 8"):
+    old = rows.replace(b"[10,", b"[9,", 1)
+    with pytest.raises(ValueError, match="format 9"):
         peer_report.decode(peer_report.zlib.compress(old))
 
 
--- a/tests/router/test_part_board.py
+++ b/tests/router/test_part_board.py
@@ -150,10 +150,88 @@
     assert is_blocked(board, "bad")
 
 
+# Guards against BUDGET: a blocked part was let through again and again, two
+# minutes after each crash.
+def test_a_part_that_crashed_two_trials_stays_blocked_for_as_long_as_it_comes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    board = make_board()
+    board.record_answer(make_call("first"))
+    block(board)
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    for number in range(part_board.FINAL_TRIALS):
+        now += part_board.BLOCK_SECONDS + 1.0
+        assert not is_blocked(board, "bad")
+        board.record_answer(make_call("first"))
+        crash(board, f"trial-{number}", "first", "bad")
+    for seconds in (1.0, 130.0, 250.0, 3600.0, 86400.0):
+        now += seconds
+        assert is_blocked(board, "bad")
+        assert not is_blocked(board, "first", "other")
+
+
+def test_one_request_at_a_time_tries_a_blocked_part(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    board = make_board()
+    board.record_answer(make_call("first"))
+    block(board)
+    now = time.monotonic() + part_board.BLOCK_SECONDS + 1.0
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    calls = [
+        dataclasses.replace(make_call("bad"), identity=f"r-{number}")
+        for number in range(20)
+    ]
+    sent = [call for call in calls if not board.find_blocked(call, False)]
+    assert sent == calls[:1]
+    assert not board.find_blocked(calls[0], False)
+
+
+def test_many_new_suspects_displace_no_blocked_part() -> None:
+    board = make_board()
+    board.record_answer(make_call("first"))
+    block(board)
+    for number in range(3 * part_board.BOUNDS.suspects):
+        crash(board, f"f{number}", f"part-{number}")
+    assert is_blocked(board, "bad")
+
+
+def test_crashes_of_a_part_at_long_intervals_add_up(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    board = make_board()
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    for number in range(LIMIT):
+        assert not is_blocked(board, "bad")
+        board.record_answer(make_call("first"))
+        crash(board, f"e{number}", "first", "bad")
+        now += 3600.0
+    assert is_blocked(board, "bad")
+
+
+def test_an_old_answer_clears_no_newer_crashes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    answered, suspecting = make_board(), make_board()
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    answered.record_answer(make_call("bad"))
+    now += part_board.SOUND_SECONDS + 1.0
+    for number in range(LIMIT):
+        crash(suspecting, f"e{number}", "bad")
+    answered.merge_report(suspecting.make_report())
+    suspecting.merge_report(answered.make_report())
+    assert is_blocked(suspecting, "bad")
+    assert is_blocked(answered, "bad")
+
+
 def test_what_is_remembered_of_parts_is_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(part_board, "MAX_SUSPECTS", 4)
+    bounds = dataclasses.replace(part_board.BOUNDS, suspects=4, answers=4)
+    monkeypatch.setattr(part_board, "BOUNDS", bounds)
     monkeypatch.setattr(part_board, "MAX_PARTS", 4)
     board = make_board()
     for number in range(10):
@@ -162,18 +240,19 @@
     is_blocked(board, "part-9")
     assert len(board.make_report().suspicions) == 4
     assert len(board._sent) == 4
-    assert len(board._sound_at) == 4
+    assert len(board._table._answered_at) == 4
     assert len(part_board.list_parts(make_call("x" * 1000))[0]) == 16
     for number in range(50):
         crash(board, f"e{number}", "bad")
     (worst, *_) = board.make_report().suspicions
-    assert len(worst.crash_ages) == part_board.MAX_CRASHES
+    assert len(worst.crash_ages) == part_board.BOUNDS.crashes
     assert is_blocked(board, "bad")
 
 
 def test_suspicions_survive_encoding() -> None:
     parts = part_board.PartsReport(
-        (part_board.Suspicion("bad", 3, {"e1": 0.5, "e2": 1.25}),), ("first",)
+        (part_board.Suspicion("bad", 3, {"e1/1": 0.5, "e2/1": 1.25}),),
+        {"first": 2.5},
     )
     report = dataclasses.replace(test_peers.REPORT, parts=parts)
     assert peer_report.decode(peer_report.encode(report)) == report
