Keep what is refused because of crashes in the store

Callers saw: after all instances had been restarted, a request that had crashed endpoints was let through until it had crashed three more.

Cause: what is refused was known to the processes alone.

Evidence: test_a_request_stays_refused_when_all_instances_restart; nothing was written before, so there is no code that it could pass on.

Change: crash_records.py writes each refused request and blocked part to a topic of the system's own, on condition of its end, and reads it at a start and after the store came back from an older copy. While the store is away, peers pass on what is refused, and it is written afterwards. A record is removed once an answer clears the request; the oldest are removed beyond 1,024.

A start costs one call of the store, a refusal two or three calls of one instance.

Why it works: the newest record of a key is kept for good, and a start reads all of them within its first second if the store answers.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -14,6 +14,7 @@
     caller_server,
     configuration,
     crash_board,
+    crash_records,
     directory,
     endpoint_link,
     errors,
@@ -169,6 +170,12 @@
             lambda: self._gossip.send(is_urgent=True),
             trials.Trials(self._is_first_by_name),
         )
+        self._crash_records = crash_records.CrashRecords(
+            topics.crashes,
+            self._crashes,
+            lambda: self._operator.copy.end.era,
+            log,
+        )
         self._warm = warm_prompts.WarmPrompts()
         self._prices = time_price.TimePrices()
         self._admission = admission.Admission(
@@ -397,6 +404,7 @@
                 self._operator.run,
                 self._entries.run,
                 self._write_statuses,
+                self._keep_crash_records,
                 self._gossip.run,
                 self._prune,
                 self._watch.run,
@@ -500,6 +508,17 @@
                     "status_not_written", detail=str(error)
                 )
 
+    async def _keep_crash_records(self) -> None:
+        while True:
+            try:
+                await self._crash_records.step()
+            except errors.StoreError as error:
+                self._log.write_routine(
+                    "crash_records_not_kept", detail=str(error)
+                )
+                await asyncio.sleep(crash_records.RETRY_SECONDS)
+            await asyncio.sleep(crash_records.STEP_SECONDS)
+
     async def _prune(self) -> None:
         while True:
             await asyncio.sleep(PRUNE_SECONDS)
--- a/packages/wagtailstream-router/wagtailstream_router/store.py
+++ b/packages/wagtailstream-router/wagtailstream_router/store.py
@@ -85,6 +85,7 @@
     ) -> None:
         """Append a record if the topic ends at a position.
 
+        :param value: the content; empty to remove the key.
         :param expected_end: where the topic has to end.
         :raises errors.StoreConflictError: the topic ends at another offset.
         :raises errors.StoreEraError: the store is in another era, in which the
@@ -102,12 +103,14 @@
     :param operator: the operator's records; only read by the router.
     :param endpoints: the endpoints' entries; only read by the router.
     :param status: the roll-outs' status, written for the operator.
+    :param crashes: what is refused because of crashes, for other instances.
     :param close: closes the connections to the store.
     """
 
     operator: Topic
     endpoints: Topic
     status: Topic
+    crashes: Topic
     close: collections.abc.Callable[[], None] = lambda: None
 
 
@@ -188,7 +191,7 @@
                 f"topic ends at offset {end.offset}, not"
                 f" {expected_end.offset}",
             )
-        self.put(key, value)
+        self.put(key, value or None)
 
     def _check_kept(self, offset: int) -> None:
         if not self._first <= offset <= self._first + len(self._records):
--- a/tests/router/support.py
+++ b/tests/router/support.py
@@ -114,6 +114,7 @@
     operator: store.MemoryTopic
     endpoints: store.MemoryTopic
     status: store.MemoryTopic
+    crashes: store.MemoryTopic
 
     def put_configuration(self, table: dict[str, object]) -> None:
         """Write a configuration as the operator does."""
@@ -127,11 +128,22 @@
     ) -> None:
         """Write an endpoint's entry as the endpoint does.
 
+        :param fields: replace the entry's default fields.
+        """
+        self.put_endpoint_at(
+            endpoint.address, endpoint.identity, service, **fields
+        )
+
+    def put_endpoint_at(
+        self, address: str, identity: str, service: str, **fields: object
+    ) -> None:
+        """Write the entry of an endpoint at an address.
+
         :param fields: replace the entry's default fields.
         """
         defaults: dict[str, object] = {
             "service": service,
-            "address": endpoint.address,
+            "address": address,
             "zone": "zone-1",
             "version": "v1",
             "slots": 8,
@@ -140,7 +152,7 @@
             "sequence": 1,
             "born": 1,
         }
-        self.endpoints.put(endpoint.identity, orjson.dumps(defaults | fields))
+        self.endpoints.put(identity, orjson.dumps(defaults | fields))
 
 
 class Fleet:
@@ -165,6 +177,7 @@
             store.MemoryTopic("operator"),
             store.MemoryTopic("endpoints"),
             store.MemoryTopic("status"),
+            store.MemoryTopic("crashes"),
         )
         self.log = event_log.MemoryEventLog()
         self.counters = metrics.Metrics()
@@ -179,7 +192,10 @@
                 admission,
             ),
             store.Store(
-                platform.operator, platform.endpoints, platform.status
+                platform.operator,
+                platform.endpoints,
+                platform.status,
+                platform.crashes,
             ),
             headers.PlatformHeaders(),
             records.PlatformRecords(),
