Take no answer that a reset broke for a whole one in entry and agent

Where a reset broke any other answer, the caller learnt it at the timeout of the call, up to an hour for a generation, though the connection was gone.

Cause: tornado's client reads an unframed body to the end of its connection and drops the reason of that end. On a reset of a framed one it raises in the callback of the close and leaves the request to its timeout.

Change: runtime/http_client.py is the one client for endpoints, rating, log, instance list and the operators' commands. It fails a request when its connection is reset, whatever was read.

Why it works: the reason of the end is looked at before an answer is complete.

--- a/packages/wagtailstream-agent/wagtailstream_agent/engine.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/engine.py
@@ -8,9 +8,10 @@
 
 import orjson
 import pydantic
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient
 
 from wagtailstream_core import configuration, errors, work
+from wagtailstream_runtime import http_client
 
 ORDER_TIMEOUT_SECONDS = 5.0
 CANCEL_TIMEOUT_SECONDS = 0.5
@@ -147,7 +148,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+        self._client = http_client.WholeAnswerClient(
             force_instance=True, max_clients=_MAX_CLIENTS
         )
 
--- a/packages/wagtailstream-agent/wagtailstream_agent/plain_service.py
+++ b/packages/wagtailstream-agent/wagtailstream_agent/plain_service.py
@@ -6,6 +6,7 @@
 from tornado import httpclient, simple_httpclient
 
 from wagtailstream_core import errors, work
+from wagtailstream_runtime import http_client
 
 REQUEST_ID_HEADER = "Wagtail-Request-Id"
 _MAX_CLIENTS = 4096
@@ -57,7 +58,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+        self._client = http_client.WholeAnswerClient(
             force_instance=True, max_clients=_MAX_CLIENTS
         )
 
--- a/packages/wagtailstream-entry/wagtailstream_entry/callers/operations.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/callers/operations.py
@@ -12,7 +12,7 @@
 import orjson
 import pydantic
 import yaml
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient
 
 from wagtailstream_core import (
     bundle,
@@ -24,7 +24,7 @@
     signing,
     snapshots,
 )
-from wagtailstream_runtime import log_client
+from wagtailstream_runtime import http_client, log_client
 
 # Pause between attempts to append a record or to find the verdict on it.
 RETRY_SECONDS = 0.5
@@ -345,7 +345,7 @@
     :param url: the base URL of the entry.
     :raises errors.PeerError: the entry did not answer, or not with a status.
     """
-    client = simple_httpclient.SimpleAsyncHTTPClient(force_instance=True)
+    client = http_client.WholeAnswerClient(force_instance=True)
     try:
         response = await client.fetch(
             f"{url.rstrip('/')}/status",
--- a/packages/wagtailstream-entry/wagtailstream_entry/versions/rating.py
+++ b/packages/wagtailstream-entry/wagtailstream_entry/versions/rating.py
@@ -5,10 +5,11 @@
 
 import orjson
 import pydantic
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient
 
 from wagtailstream_core import cascade
 from wagtailstream_entry.filters import exchange
+from wagtailstream_runtime import http_client
 
 # Time limit of one call of the rating service.
 TIMEOUT_SECONDS = 1.0
@@ -97,7 +98,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+        self._client = http_client.WholeAnswerClient(
             force_instance=True, max_clients=_MAX_CLIENTS
         )
 
--- a/packages/wagtailstream-runtime/wagtailstream_runtime/instance_list.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/instance_list.py
@@ -8,9 +8,10 @@
 import typing
 
 import pydantic
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient
 
 from wagtailstream_core import errors
+from wagtailstream_runtime import http_client
 
 TIMEOUT_SECONDS = 2.0
 
@@ -79,9 +80,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
-            force_instance=True
-        )
+        self._client = http_client.WholeAnswerClient(force_instance=True)
 
     async def fetch(self) -> list[Instance]:
         """Return the listed instances.
--- a/packages/wagtailstream-runtime/wagtailstream_runtime/log_client.py
+++ b/packages/wagtailstream-runtime/wagtailstream_runtime/log_client.py
@@ -8,9 +8,10 @@
 import time
 
 import pydantic
-from tornado import httpclient, simple_httpclient
+from tornado import httpclient
 
 from wagtailstream_core import configuration, errors
+from wagtailstream_runtime import http_client
 
 APPEND_TIMEOUT_SECONDS = 2.0
 READ_TIMEOUT_SECONDS = 3.0
@@ -165,7 +166,7 @@
 
     def __init__(self, url: str) -> None:
         self._url = url.rstrip("/")
-        self._client = simple_httpclient.SimpleAsyncHTTPClient(
+        self._client = http_client.WholeAnswerClient(
             force_instance=True,
             max_clients=_MAX_CLIENTS,
             max_body_size=_MAX_BODY_BYTES,
