End each request open at the end of a planned stop with a true answer

Here it happened to requests still open after 0.87 of the grace period, to requests in any grace period shorter than the fixed 2.5 and 3.2 s of accepting and leaving, to requests that waited for a full endpoint and were sent seconds later, and to those of which only a part had been read.

Cause: the times of the shutdown did not look at the grace period, open requests kept their own deadlines beyond it and were then cancelled as if their callers had left, requests were refused only once their bodies were read, and those waiting for a full endpoint were not woken.

Change: as it stops, an instance makes the deadline of each open and further request that of its own end, which is what endpoints are told as well. At that time a request that may have run gets a 504, one that has not run a 503, and a stream that has begun is cut. Requests are taken for a third of the grace period at most. After that they are refused when their head is read, those that wait for full endpoints decide once more, and those not read to their end by the deadline are refused.

Why it works: no request has a deadline beyond the process, and there is one place that answers at a deadline.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections.abc
-import contextlib
 import functools
 import random
 import signal
@@ -58,8 +57,15 @@
 STATUS_INTERVAL_SECONDS = 0.25
 # Interval between removals of idle connections and expired state.
 PRUNE_SECONDS = 0.5
-# Fraction of the grace period after which open requests are cancelled.
+# Fractions of the grace period after which no request is taken, no connection
+# is expected, and open requests get their final answer.
+ACCEPT_SHARE = 1.0 / 3.0
+LEAVE_SHARE = 0.4
 GRACE_SHARE = 0.87
+# The time to send final answers, and to flush the last bytes to the sockets.
+FLUSH_SECONDS = 0.05
+# Interval between checks of whether requests are still open.
+DRAIN_POLL_SECONDS = 0.05
 METRICS_PATH = "/metrics"
 # Delay before a failed task is restarted. It is as short as
 # STATUS_INTERVAL_SECONDS, so that a restart breaks no time limit.
@@ -227,7 +233,6 @@
             self._turning_away.ends_connections
         )
         self._probe_server = page_server.PageServer(self._make_probe_page)
-        self._is_refusing = False
         self._stop = asyncio.Event()
         self._started = asyncio.Event()
         self._listeners = listeners.Listeners(settings.idle_seconds)
@@ -362,7 +367,7 @@
     async def _handle(
         self, call: request.Request, caller: reply.Reply
     ) -> None:
-        if self._is_refusing:
+        if self._server.is_refusing:
             self._responder.refuse(
                 caller, call.identity, 503, metrics.Counter.REFUSED_DRAINING
             )
@@ -530,28 +535,43 @@
             self._crashes.record_members(self._members.members)
 
     async def _shut_down(self) -> None:
-        """Drain: fail the readiness probe, refuse, wait, cancel the rest."""
+        """Drain: fail the readiness probe, refuse, wait, end the rest."""
         began = time.monotonic()
         self._state_exchange.is_draining = True
         self._server.is_closing = True
         self._log.write("draining", open=len(self._server.tasks))
-        deadline = began + self._settings.bounds.grace_seconds * GRACE_SHARE
+        grace_seconds = self._settings.bounds.grace_seconds
         leaving = self._settings.leaving
-        await asyncio.sleep(leaving.accept_seconds)
+        deadline = began + grace_seconds * GRACE_SHARE
+        # What cannot be answered by then is refused or answered earlier.
+        self._front.end_by(deadline)
+        await _sleep_until(
+            began + min(leaving.accept_seconds, grace_seconds * ACCEPT_SHARE)
+        )
         # Requests that arrive from now on might not finish before the exit.
-        self._is_refusing = True
+        self._server.is_refusing = True
         self._admission.close()
+        self._retry_policy.wake_waiting()
         self._log.write("refusing", open=len(self._server.tasks))
-        await asyncio.sleep(leaving.leave_seconds - leaving.accept_seconds)
-        while self._server.tasks and time.monotonic() < deadline:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout_at(deadline):
-                    await asyncio.wait(
-                        list(self._server.tasks),
-                        return_when=asyncio.ALL_COMPLETED,
-                    )
+        await _sleep_until(
+            began + min(leaving.leave_seconds, grace_seconds * LEAVE_SHARE)
+        )
+        while self._is_busy and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
         self._listeners.stop()
+        self._server.end_reading()
+        if self._server.tasks:
+            # Their deadline has come: they are about to send a final answer.
+            await asyncio.wait(list(self._server.tasks), timeout=FLUSH_SECONDS)
         for task in list(self._server.tasks):
             task.cancel()
-        # Time to flush the last bytes to the sockets.
-        await asyncio.sleep(0.05)
+        await asyncio.sleep(FLUSH_SECONDS)
+
+    @property
+    def _is_busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return bool(self._server.tasks or self._server.readers)
+
+
+async def _sleep_until(deadline: float) -> None:
+    await asyncio.sleep(max(0.0, deadline - time.monotonic()))
--- a/packages/wagtailstream-router/wagtailstream_router/caller_server.py
+++ b/packages/wagtailstream-router/wagtailstream_router/caller_server.py
@@ -252,11 +252,19 @@
         self.ledger = ledger_
         self.unread_watch = unread_watch.UnreadWatch()
         self.is_closing = False
+        # Whether requests are refused before their body is read.
+        self.is_refusing = False
         # Whether answers end their connections for another reason.
         self.ends_connections: collections.abc.Callable[[], bool] = lambda: (
             False
         )
         self.tasks: set[asyncio.Task[None]] = set()
+        self.readers: set[_RequestReader] = set()
+
+    def end_reading(self) -> None:
+        """Refuse the requests that are not read to their end."""
+        for reader in list(self.readers):
+            reader.end()
 
     def start_request(
         self,
@@ -308,11 +316,22 @@
             self._refuse(431, metrics.Counter.REFUSED_LONG_HEAD)
         elif length.isdecimal() and int(length) > self._limits.body_bytes:
             self._refuse(413, metrics.Counter.REFUSED_TOO_LARGE)
+        elif self._owner.is_refusing:
+            self._refuse_unread(metrics.Counter.REFUSED_DRAINING)
         else:
             if length.isdecimal() and "Transfer-Encoding" not in headers:
                 self._announced = int(length)
             if not self._holding.take(head_bytes + self._announced):
-                self._refuse_without_room()
+                self._refuse_unread(metrics.Counter.REFUSED_NO_ROOM)
+        if not self._reply.is_done:
+            self._owner.readers.add(self)
+
+    def end(self) -> None:
+        """Refuse the request if that is not done, and read it no further."""
+        if not self._is_refused:
+            self._refuse_unread(metrics.Counter.REFUSED_DRAINING)
+        if not self._reply.is_done:
+            self._reply.finish()
 
     def data_received(self, chunk: bytes) -> None:
         if self._reply.is_done:
@@ -334,9 +353,10 @@
         if self._announced or self._holding.take(len(chunk)):
             self._body.append(chunk)
         else:
-            self._refuse_without_room()
+            self._refuse_unread(metrics.Counter.REFUSED_NO_ROOM)
 
     def finish(self) -> None:
+        self._owner.readers.discard(self)
         if self._is_refused and not self._reply.is_done:
             # Closing a connection with unread bytes would reset it, and the
             # caller could lose the answer. Now all are read.
@@ -364,6 +384,7 @@
         self._task.add_done_callback(self._owner.tasks.discard)
 
     def on_connection_close(self) -> None:
+        self._owner.readers.discard(self)
         self._body = []
         self._holding.close()
         self._cancel()
@@ -415,26 +436,26 @@
         headers = self._owner.codec.encode_refusal("", None)
         self._reply.send(status, headers, reason.value.encode() + b"\n")
 
-    def _refuse_without_room(self) -> None:
+    def _refuse_unread(self, reason: metrics.Counter) -> None:
         """Refuse a request before its body is read, and discard the body."""
         assert self._line is not None
         self._is_refused = True
         self._body = []
         self._holding.close()
         owner = self._owner
-        owner.counters.count(metrics.Counter.REFUSED_NO_ROOM)
+        owner.counters.count(reason)
         identity = owner.codec.find_identity(list(self._headers.get_all()))
         owner.log.write(
             "refused",
             request=identity,
             status=503,
-            reason=metrics.Counter.REFUSED_NO_ROOM.value,
+            reason=reason.value,
             held_bytes=owner.ledger.held_bytes,
         )
         self._reply.send_unfinished(
             503,
             owner.codec.encode_refusal(identity, RETRY_AFTER_SECONDS),
-            metrics.Counter.REFUSED_NO_ROOM.value.encode() + b"\n",
+            reason.value.encode() + b"\n",
         )
         if "Expect" in self._headers:
             # The caller sends no body; tornado would ask for it.
--- a/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_plain.py
@@ -71,7 +71,7 @@
         """Answer a request, at the latest at its deadline."""
         self._retry_policy.record_request(task.service)
         try:
-            async with asyncio.timeout_at(task.deadline):
+            async with task.limit_time():
                 await self._try_endpoints(task)
         except TimeoutError:
             self._responder.answer_timed_out(task)
--- a/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forward_stream.py
@@ -4,7 +4,6 @@
 event that the caller received.
 """
 
-import asyncio
 import collections.abc
 import functools
 import random
@@ -118,7 +117,7 @@
         """Answer a request, at the latest at its deadline."""
         self._retry_policy.record_request(task.service)
         try:
-            async with asyncio.timeout_at(task.deadline):
+            async with task.limit_time():
                 await _StreamRun(self, task).run()
         except TimeoutError:
             self._responder.answer_timed_out(task)
--- a/packages/wagtailstream-router/wagtailstream_router/forwarding.py
+++ b/packages/wagtailstream-router/wagtailstream_router/forwarding.py
@@ -323,6 +323,10 @@
         await self._full_queue.wait(until, task.priority, task.customer)
         return True
 
+    def wake_waiting(self) -> None:
+        """Let requests that wait for full endpoints decide once more."""
+        self._full_queue.wake_all()
+
     def _start_probe(self, member: directory.Member) -> None:
         """Start a check of whether an endpoint that cut an answer crashed."""
         probe = asyncio.ensure_future(self._probe(member))
--- a/packages/wagtailstream-router/wagtailstream_router/front.py
+++ b/packages/wagtailstream-router/wagtailstream_router/front.py
@@ -1,5 +1,6 @@
 """Admits requests: finds route, tenant and deadline, then forwards them."""
 
+import math
 import random
 import time
 
@@ -47,6 +48,17 @@
         self._responder = responder
         self._counters = counters
         self._random = generator
+        self._open: dict[int, job.Job] = {}
+        self._ends_at = math.inf
+
+    def end_by(self, deadline: float) -> None:
+        """Answer all open and further requests until a time.
+
+        :param deadline: by the monotonic clock.
+        """
+        self._ends_at = deadline
+        for task in self._open.values():
+            task.advance_deadline(deadline)
 
     async def handle(self, call: request.Request, caller: reply.Reply) -> None:
         """Answer a request: refuse it or forward it."""
@@ -63,10 +75,15 @@
         task = self._admit(value, call, caller)
         if task is None:
             return
-        if task.route.kind is configuration.RouteKind.STREAM:
-            await self._stream.forward(task)
-        else:
-            await self._plain.forward(task)
+        task.advance_deadline(self._ends_at)
+        self._open[id(task)] = task
+        try:
+            if task.route.kind is configuration.RouteKind.STREAM:
+                await self._stream.forward(task)
+            else:
+                await self._plain.forward(task)
+        finally:
+            del self._open[id(task)]
 
     def _admit(
         self,
--- a/packages/wagtailstream-router/wagtailstream_router/full_endpoints.py
+++ b/packages/wagtailstream-router/wagtailstream_router/full_endpoints.py
@@ -77,9 +77,14 @@
         waiting.append((priority, customer, self._count, woken))
         await woken
 
+    def wake_all(self) -> None:
+        """Wake all requests, as they may have less time than before."""
+        for until in list(self._waiting):
+            self._wake(until)
+
     def _wake(self, until: float) -> None:
         ordered = sorted(
-            self._waiting.pop(until),
+            self._waiting.pop(until, []),
             key=lambda row: (row[0], self._rank(row[1]), row[2]),
         )
         for _, _, _, woken in ordered:
--- a/packages/wagtailstream-router/wagtailstream_router/job.py
+++ b/packages/wagtailstream-router/wagtailstream_router/job.py
@@ -1,5 +1,8 @@
 """The state of an admitted request."""
 
+import asyncio
+import collections.abc
+import contextlib
 import dataclasses
 
 from wagtailstream_router import (
@@ -53,6 +56,30 @@
     version: str = ""
     went_on_at: float = 0.0
     is_overdue: bool = False
+    _limit: asyncio.Timeout | None = None
+
+    @contextlib.asynccontextmanager
+    async def limit_time(self) -> collections.abc.AsyncIterator[None]:
+        """Run the body until the deadline.
+
+        :raises TimeoutError: the deadline has passed.
+        """
+        async with asyncio.timeout_at(self.deadline) as self._limit:
+            try:
+                yield
+            finally:
+                self._limit = None
+
+    def advance_deadline(self, deadline: float) -> None:
+        """Make the final answer due earlier.
+
+        :param deadline: by the monotonic clock; a later one changes nothing.
+        """
+        if deadline >= self.deadline:
+            return
+        self.deadline = deadline
+        if self._limit is not None and not self._limit.expired():
+            self._limit.reschedule(deadline)
 
     @property
     def may_have_run(self) -> bool:
--- a/tests/router/support.py
+++ b/tests/router/support.py
@@ -164,6 +164,8 @@
         SIGTERM.
     :param buffers: how much the router may hold for slow peers.
     :param admission: bounds of the queue; None to send all requests at once.
+    :param grace_seconds: the time from SIGTERM to SIGKILL.
+    :param leaving: the timing of the shutdown; it goes before `leave_seconds`.
     """
 
     def __init__(
@@ -172,6 +174,8 @@
         leave_seconds: float = 0.1,
         buffers: bounds.BufferBounds | None = None,
         admission: admission_bounds.AdmissionBounds | None = None,
+        grace_seconds: float = 1.0,
+        leaving: node.ShutdownTiming | None = None,
     ) -> None:
         self.platform = Platform(
             store.MemoryTopic("operator"),
@@ -187,9 +191,10 @@
         self.router = app.Router(
             _make_settings(
                 retry_slack,
-                leave_seconds,
+                leaving or node.ShutdownTiming(0.05, leave_seconds),
                 buffers or bounds.BufferBounds(),
                 admission,
+                grace_seconds,
             ),
             store.Store(
                 platform.operator,
@@ -305,9 +310,10 @@
 
 def _make_settings(
     slack: float,
-    leave_seconds: float,
+    leaving: node.ShutdownTiming,
     buffers: bounds.BufferBounds,
     admission: admission_bounds.AdmissionBounds | None,
+    grace_seconds: float,
 ) -> node.Settings:
     return node.Settings(
         name="router-1",
@@ -318,7 +324,7 @@
         gossip_address="127.0.0.1:0",
         seeds=(),
         bounds=node.Bounds(
-            grace_seconds=1.0,
+            grace_seconds=grace_seconds,
             drain_seconds=2.0,
             exposure=exposure.ExposureBounds(0.15, 30),
             retry_budget=retry_budget.BudgetBounds(0.9, 10.0, slack),
@@ -326,7 +332,7 @@
         ),
         credits_=worth.Credits((4.5, 1.6, 0.29), 0.2),
         pace=node.StoreReadTiming(0.2, 0.05),
-        leaving=node.ShutdownTiming(0.05, leave_seconds),
+        leaving=leaving,
         buffers=buffers,
         admission=admission,
     )
--- a/tests/runtime/test_cut_answers.py
+++ b/tests/runtime/test_cut_answers.py
@@ -1,6 +1,5 @@
 """Answers that end anywhere are never taken for whole ones."""
 
-import asyncio
 import collections.abc
 
 import pytest
@@ -61,6 +60,12 @@
     return work.Attempt("request-1", 1, "customer", 0, 0.0, 1, MODEL_WORK)
 
 
+async def generate(model: engine.HttpEngine) -> None:
+    """Read a generation that must not seem to end."""
+    async for item in model.generate(make_attempt(), MODEL_WORK):
+        assert not isinstance(item, engine.Done)
+
+
 async def test_a_generation_cut_at_any_byte_has_no_end(
     server: cuts.CuttingServer,
 ) -> None:
@@ -73,8 +78,7 @@
     for size in range(len(head) + len(lines)):
         server.answer = (head + lines)[:size]
         with pytest.raises(errors.PeerError):
-            async for item in model.generate(make_attempt(), MODEL_WORK):
-                assert not isinstance(item, engine.Done)
+            await generate(model)
 
 
 @pytest.mark.parametrize("is_reset", [False, True])
