Keep the newest write of an endpoint in the replica, for peers as well

Callers saw: requests could reach an endpoint that leaves though the store had confirmed it (DRAIN), where the store carried an older heartbeat out after the newer write and (1) both came in one page, or (2) the instance reads the entries from a peer's copy and had not read the newer write itself.

Change: the replica of the entries compares writes by start and number, as the directory does, and drops an older one that comes within ten seconds after the newer, also where all records are read anew. The order counts for entries that name an endpoint only: another writer's numbers hold nothing up.

Why it works: an older write leaves no trace in any instance that has read the newer one, and so none in what it passes on.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -133,7 +133,7 @@
         )
         self._entries = follower.Follower(
             topics.endpoints,
-            replica.Replica(),
+            replica.Replica(records.read_write_order),
             follower.ReadTiming(0.0, store_read_timing.entries_pause_seconds),
             log,
             self._on_entries_change,
--- a/packages/wagtailstream-router/wagtailstream_router/replica.py
+++ b/packages/wagtailstream-router/wagtailstream_router/replica.py
@@ -1,5 +1,6 @@
 """A replica of a keyed topic, read from the store or from a peer."""
 
+import collections.abc
 import dataclasses
 import time
 
@@ -12,16 +13,44 @@
 # How long after the store came back from an older copy records may still be
 # written again: five times the two seconds of the users' specification.
 SETTLE_SECONDS = 10.0
+# How much later than a newer write an older one may still be carried out, some
+# seconds in the users' specification. A number that another writer gave an
+# entry holds the endpoint's own writes up no longer.
+LATE_WRITE_SECONDS = 10.0
+
+# The start of a record's writer and the number of the write since; a later
+# write is greater.
+WriteOrder = tuple[int, int]
+ReadOrder = collections.abc.Callable[[bytes], WriteOrder | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Write:
+    """The latest write of a key.
+
+    :param at: when it was read, by the monotonic clock.
+    """
+
+    order: WriteOrder
+    at: float
 
 
 class Replica:
     """The newest record of each key, up to an offset.
 
     Its end never moves back, except to that of the store itself: outdated
-    copies of peers are ignored.
+    copies of peers are ignored. Of two writes of a key the later one stays,
+    also if the store carried the earlier one out after it; so peers that read
+    the replica get the later one too.
+
+    :param read_order: returns when a value was written; None if that can't be
+        told, and the record that comes last stays.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, read_order: ReadOrder = lambda value: None) -> None:
+        self._read_order = read_order
+        # In the order in which they were read.
+        self._writes: dict[str, _Write] = {}
         self._records: dict[str, store.Record] = {}
         self._end = store.Position(0, -1)
         self._era_began_at = float("-inf")
@@ -124,7 +153,15 @@
             # Entries that are missing may be written again, as after an
             # outage.
             self._era_began_at = self._reconfirmed_at = now
+            self._writes = {}
         records = {record.key: record for record in page.records}
+        for record in page.records:
+            if not self._accept(record):
+                held = self._records.get(record.key)
+                if held is None:
+                    del records[record.key]
+                else:
+                    records[record.key] = held
         if records != self._records:
             self._change += 1
         self.confirm(at)
@@ -151,7 +188,29 @@
         self._end = max(self._end, page.end)
         self.confirm(at)
 
+    def _accept(self, record: store.Record) -> bool:
+        """Return whether a record is no older write than the one before."""
+        order = self._read_order(record.value or b"")
+        if order is None:
+            return True
+        now = time.monotonic()
+        latest = self._writes.get(record.key)
+        if latest is not None and order < latest.order:
+            if now - latest.at < LATE_WRITE_SECONDS:
+                return False
+        elif latest is not None and order == latest.order:
+            return True
+        self._writes.pop(record.key, None)
+        self._writes[record.key] = _Write(order, now)
+        for key, write in list(self._writes.items()):
+            if now - write.at < LATE_WRITE_SECONDS:
+                break
+            del self._writes[key]
+        return True
+
     def _apply(self, record: store.Record) -> None:
+        if record.value is not None and not self._accept(record):
+            return
         self._change += 1
         if record.value is None:
             self._records.pop(record.key, None)
--- a/packages/wagtailstream-router/wagtailstream_router/wire.py
+++ b/packages/wagtailstream-router/wagtailstream_router/wire.py
@@ -75,6 +75,14 @@
     ) -> endpoint.Endpoint | None:
         """Return an endpoint; None if the value is not an endpoint's entry."""
 
+    @abc.abstractmethod
+    def read_write_order(self, value: bytes) -> tuple[int, int] | None:
+        """Return when an endpoint's entry was written.
+
+        :returns: the Unix time in ms of the endpoint's start and the number of
+            the write since; None if the entry states none.
+        """
+
     @abc.abstractmethod
     def find_emptied_zone(self, key: str) -> str | None:
         """Return the data centre that a record orders to be emptied.
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -118,6 +118,112 @@
     assert sorted(harness.list_ready_ids()) == ["a", "b"]
 
 
+class Instance:
+    """An instance that reads the entries from the store or from a peer."""
+
+    def __init__(self) -> None:
+        codec = records.PlatformRecords()
+        self.copy = replica.Replica(codec.read_write_order)
+        self.members = directory.Directory(
+            self.copy, codec, event_log.MemoryEventLog()
+        )
+
+    def read(self, *writes: dict[str, object] | None) -> None:
+        """Read the next writes of the endpoint from the store."""
+        first = max(0, self.copy.end.offset)
+        rows = tuple(
+            store.Record(
+                "a", orjson.dumps(write) if write else None, first + place
+            )
+            for place, write in enumerate(writes)
+        )
+        page = store.Page(rows, first + len(rows))
+        if self.copy.is_loaded:
+            self.copy.extend(page, time.monotonic())
+        else:
+            self.copy.reload(page, time.monotonic())
+        self.members.refresh()
+
+    def read_peer(self, peer: "Instance") -> None:
+        """Read a peer's copy."""
+        rows = tuple(peer.copy.records.values())
+        end = peer.copy.end
+        page = store.Page(rows, end.offset, end.era)
+        self.copy.reset(page, time.monotonic())
+        self.members.refresh()
+
+    @property
+    def is_used(self) -> bool:
+        return bool(self.members.list_ready("engine"))
+
+
+def make_write(sequence: int, state: str = "ready") -> dict[str, object]:
+    return make_entry("a", sequence=sequence, state=state)
+
+
+# Guards against DRAIN: of two writes in one page, the one that came last was
+# taken, though it was the older one.
+def test_an_older_write_in_the_same_page_undoes_no_newer_one() -> None:
+    instance = Instance()
+    instance.read(make_write(5))
+    assert instance.is_used
+    instance.read(make_write(7, "draining"), make_write(6))
+    assert not instance.is_used
+    instance.read(make_write(8))
+    assert instance.is_used
+
+
+# Guards against DRAIN: a peer that reads a copy never saw the newer write.
+def test_a_copy_of_a_peer_holds_the_newer_write() -> None:
+    instance, peer, started = Instance(), Instance(), Instance()
+    for each in (instance, peer):
+        each.read(make_write(5))
+    peer.read(make_write(7, "draining"))
+    peer.read(make_write(6))
+    instance.read_peer(peer)
+    started.read_peer(peer)
+    assert not instance.is_used
+    assert not started.is_used
+
+
+def test_a_copy_of_a_peer_brings_back_no_endpoint_that_has_left() -> None:
+    instance, peer = Instance(), Instance()
+    for each in (instance, peer):
+        each.read(make_write(5))
+    peer.read(make_write(7), None)
+    peer.read(make_write(6))
+    instance.read_peer(peer)
+    assert not instance.is_used
+
+
+def test_all_records_read_anew_undo_no_newer_write() -> None:
+    """The store has dropped the history between the two reads."""
+    instance = Instance()
+    instance.read(make_write(5), make_write(7, "draining"))
+    late = store.Record("a", orjson.dumps(make_write(6)), 9)
+    instance.copy.reload(store.Page((late,), 10), time.monotonic())
+    peer = Instance()
+    peer.read_peer(instance)
+    assert not instance.is_used
+    assert not peer.is_used
+
+
+def test_an_entry_of_another_writer_holds_up_no_write() -> None:
+    instance = Instance()
+    instance.read(make_write(5))
+    instance.read(make_write(2**60, "unknown"), make_write(6, "draining"))
+    assert not instance.is_used
+
+
+def test_a_restart_in_the_same_page_is_used() -> None:
+    instance = Instance()
+    instance.read(make_write(60, "draining"))
+    restarted = make_entry("a", sequence=1, born=2)
+    instance.read(make_write(61, "draining"), restarted, make_write(62))
+    assert instance.is_used
+    assert instance.members.members["a"].entry.born_ms == 2
+
+
 def test_a_restarted_endpoint_with_a_lower_number_is_used(
     harness: DirectoryHarness,
 ) -> None:
