Send a repeat of a caller on another connection than the request before

Callers saw: a caller that repeats its request under the same id could be answered with the late copy of the answer before: 503 though the repeat ran, or a success of the first run while the second one went on (REFUSED, MIXED).

A repeat is another request of the router with the same id, and got the connection that had just carried the first one. The id in the answer tells answers of other requests apart, but not these.

Evidence: test_a_copy_is_no_answer_to_a_repeat_of_its_caller failed before with each status of the copy (503, 429, 500, 200).

Change: a connection remembers the last 64 ids that it carried, and a request is not sent on one that has carried its id.

Why it works: on each connection an id stands for one request, so that the id in an answer names it for certain.

--- a/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
+++ b/packages/wagtailstream-router/wagtailstream_router/endpoint_link.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import collections
 import collections.abc
 import contextlib
 import socket
@@ -32,6 +33,9 @@
 # The most informational heads (1xx) before an answer; endpoints in the users'
 # specification send none.
 MAX_INFORMATIONAL_HEADS = 8
+# The requests whose late copies of answers a connection may still bring, the
+# newest of those that it carried.
+MAX_CARRIED = 64
 # The keep-alive time of endpoints that don't state theirs.
 DEFAULT_IDLE_SECONDS = 4.0
 
@@ -64,6 +68,9 @@
         self._idle_seconds = DEFAULT_IDLE_SECONDS
         self._is_framed = False
         self._is_closed = False
+        self._carried: collections.deque[str] = collections.deque(
+            maxlen=MAX_CARRIED
+        )
 
     @property
     def address(self) -> str:
@@ -93,6 +100,17 @@
         """
         return self._is_framed
 
+    def has_carried(self, identity: str) -> bool:
+        """Return whether it carried a request of this id before.
+
+        A late copy of its answer would bear the id of the next one.
+        """
+        return identity in self._carried
+
+    def record_carried(self, identity: str) -> None:
+        """Record the id of the request that is sent."""
+        self._carried.append(identity)
+
     async def connect(self) -> None:
         """Open the connection.
 
@@ -336,16 +354,19 @@
         self,
         address: str,
         used: collections.abc.Container[EndpointLink] = (),
+        identity: str = "",
     ) -> EndpointLink:
         """Return a connection to an endpoint, preferably an idle one.
 
         :param address: the endpoint's IPv4 address and port, `host:port`.
         :param used: connections that are not wanted.
+        :param identity: the id of the request; connections that carried one
+            of the same id are not wanted. "" if it has none.
         :raises errors.NotSentError: no connection could be opened.
         """
         idle = self._idle.get(address, [])
         for link in reversed(idle.copy()):
-            if link in used:
+            if link in used or (identity and link.has_carried(identity)):
                 continue
             idle.remove(link)
             if link.is_reusable:
--- a/packages/wagtailstream-router/wagtailstream_router/exchange.py
+++ b/packages/wagtailstream-router/wagtailstream_router/exchange.py
@@ -310,7 +310,9 @@
     ) -> endpoint_link.EndpointLink:
         try:
             # A late copy of an earlier answer would bear the request's own id.
-            return await self._pool.acquire(member.entry.address, task.links)
+            return await self._pool.acquire(
+                member.entry.address, task.links, task.call.identity
+            )
         except errors.NotSentError as error:
             task.tried.add(member.identity)
             raise AttemptError(
@@ -344,6 +346,7 @@
         task.sent += 1
         task.tried.add(member.identity)
         task.links.append(link)
+        link.record_carried(call.identity)
         try:
             link.send(call.method, call.target, headers, call.body)
             # Undone if the endpoint states that nothing ran. The deadline may
--- a/tests/router/test_late_copies.py
+++ b/tests/router/test_late_copies.py
@@ -134,3 +134,29 @@
     assert reply.status == 200
     assert platform_endpoint.make_event(1) in reply.body
     assert endpoint.runs == 1
+
+
+# Guards against REFUSED: the late copy of a refusal answered a repeat of its
+# caller under the same id, which ran.
+@pytest.mark.parametrize("status", [503, 429, 500, 200])
+async def test_a_copy_is_no_answer_to_a_repeat_of_its_caller(
+    single: tuple[support.Fleet, platform_endpoint.PlatformEndpoint],
+    status: int,
+) -> None:
+    fleet, endpoint = single
+    gate = asyncio.Event()
+    first = dataclasses.replace(
+        REFUSAL if status in (503, 429) else SUCCESS, status=status
+    )
+    endpoint.plans = [first, platform_endpoint.Plan(gate=gate)]
+    before = await fleet.call("POST", support.UNSAFE_PATH, b"x", "request-1")
+    repeat = asyncio.ensure_future(
+        fleet.call("POST", support.UNSAFE_PATH, b"y", "request-1")
+    )
+    await asyncio.sleep(2 * LATE_SECONDS)
+    assert not repeat.done()
+    gate.set()
+    after = await repeat
+    assert before.status in (status, 503)
+    assert (after.status, after.body) == (200, b"whole answer")
+    assert endpoint.connections == 2
