Reset a cut answer of a caller that takes no chunks

Cause: an aborted answer closes the connection in order. That shows a cut where a length or chunks frame the body, and nothing elsewhere.

Evidence: test_a_cut_stream_is_reset_for_a_caller_without_chunks failed before: the caller read to the end of the connection without an error.

Change: an answer that nothing frames is aborted by a reset. Framed ones are closed in order as before, so that what was sent is still read.

Why it works: a reset is the only sign of a cut that such a caller can see.

--- a/packages/wagtailstream-router/wagtailstream_router/caller_server.py
+++ b/packages/wagtailstream-router/wagtailstream_router/caller_server.py
@@ -54,6 +54,8 @@
         self._is_started = False
         self._is_done = False
         self._is_aborted = False
+        self._has_chunks = True
+        self._is_framed = True
 
     @property
     def is_started(self) -> bool:
@@ -80,6 +82,13 @@
         """Counts what is held of an answer before it is sent."""
         return self._room
 
+    def set_version(self, version: str) -> None:
+        """Set the HTTP version of the request: before 1.1 nothing is chunked.
+
+        :param version: for example "HTTP/1.1".
+        """
+        self._has_chunks = version >= "HTTP/1.1"
+
     def track(self, window_: window.SendWindow) -> None:
         """Count what is unsent, and let `write` wait for the caller."""
         self._window = window_
@@ -153,9 +162,15 @@
         self._write_pieces(body)
 
     def abort(self) -> None:
-        """Close the connection so that a cut answer can't look complete."""
+        """Close the connection so that a cut answer can't look complete.
+
+        Where only the end of the connection ends the answer, it is reset.
+        """
         self._is_done = True
         self._is_aborted = True
+        if not self._is_framed and self._window is not None:
+            self._window.reset()
+            return
         stream = getattr(self._connection, "stream", None)
         if stream is not None:
             stream.close()
@@ -168,6 +183,7 @@
         body: bytes,
     ) -> None:
         self._is_started = True
+        self._is_framed = length is not None or self._has_chunks
         fields = httputil.HTTPHeaders()
         for name, value in headers:
             fields.add(name, value)
@@ -308,6 +324,7 @@
         self._arrived = time.monotonic()
         assert isinstance(start_line, httputil.RequestStartLine)
         self._line = start_line
+        self._reply.set_version(start_line.version)
         self._headers = headers
         self._limits = self._owner.find_limits()
         length = headers.get("Content-Length", "0")
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import socket
 import struct
 
 import pytest
 
-from standins import platform_caller
-from tests.router import support
+from standins import platform_caller, platform_endpoint
+from tests.router import support, test_forward_stream
 from wagtailstream_adapter import headers, log_store
 from wagtailstream_router import (
     endpoint_link,
@@ -231,3 +232,29 @@
     server.answer = whole
     assert (await topic.read_newest()).end == store.Position(1, 7)
     pool.close()
+
+
+# Guards against ORDER: a broken stream looked whole to a caller without chunks.
+async def test_a_cut_stream_is_reset_for_a_caller_without_chunks(
+    fleet: support.Fleet,
+) -> None:
+    endpoint = await fleet.add_endpoint("engine-1", "engine")
+    endpoint.default = dataclasses.replace(
+        test_forward_stream.make_plan(1, 3), end=platform_endpoint.End.CUT
+    )
+    await fleet.start()
+    reader, writer = await asyncio.open_connection(
+        "127.0.0.1", fleet.router.callers_port
+    )
+    fields = support.make_headers("request-1", **support.make_stream_headers())
+    head = "".join(f"{name}: {value}\r\n" for name, value in fields)
+    writer.write(
+        f"POST {support.STREAM_PATH} HTTP/1.0\r\n{head}"
+        "Content-Length: 1\r\n\r\nx".encode()
+    )
+    answer = b""
+    with pytest.raises(ConnectionResetError):
+        while chunk := await reader.read(100):
+            answer += chunk
+    assert b"Transfer-Encoding" not in answer
+    writer.close()
