Keep the answers to former suspects apart from all other answers

Callers saw: nothing yet. An instance that was away for long could revive a suspicion that an answer had ended meanwhile, and as suspicions no longer end by time, a sound request would have been refused for as long as it came.

Evidence: test_a_peer_that_was_away_for_long_revives_no_suspicion failed before.

Change: only answers to suspected requests are remembered.

Why it works: the answers kept are bounded by the number of former suspects and not by the traffic.

--- a/packages/wagtailstream-router/wagtailstream_router/crash_board.py
+++ b/packages/wagtailstream-router/wagtailstream_router/crash_board.py
@@ -161,14 +161,18 @@
 
         :param endpoints: the ids of the endpoints in the directory.
         """
+        self._drop_old_cuts()
         for endpoint in {cut.endpoint for cut in self._cuts}:
             if endpoint not in endpoints:
                 self.record_lost(endpoint)
 
-    def record_lost(self, endpoint: str) -> None:
-        """Count the recent cuts of an unreachable endpoint as crashes."""
+    def _drop_old_cuts(self) -> None:
         since = time.monotonic() - PROOF_SECONDS
         self._cuts = [cut for cut in self._cuts if cut.at >= since]
+
+    def record_lost(self, endpoint: str) -> None:
+        """Count the recent cuts of an unreachable endpoint as crashes."""
+        self._drop_old_cuts()
         proved = [cut for cut in self._cuts if cut.endpoint == endpoint]
         for cut in proved:
             self._cuts.remove(cut)
@@ -200,10 +204,13 @@
         """Record that an endpoint answered a request.
 
         It discards the endpoint's cuts, as it is alive, and the crashes of
-        the request.
+        the request. Answers to others are not kept: they would displace those
+        to former suspects, which a peer may still suspect.
         """
         self._cuts = [cut for cut in self._cuts if cut.endpoint != endpoint]
-        if self._table.record_answer(digest):
+        if self._table.crashes_of(digest) and self._table.record_answer(
+            digest
+        ):
             self._update_refused()
 
     def count(self, digest: int) -> int:
--- a/tests/router/test_crash_board.py
+++ b/tests/router/test_crash_board.py
@@ -287,6 +287,24 @@
     assert other.is_refused(FIRST_DIGEST, "r-1")
 
 
+def test_a_peer_that_was_away_for_long_revives_no_suspicion(
+    board: crash_board.CrashBoard, clock: Clock
+) -> None:
+    away = make_board()
+    refuse(away, FIRST_DIGEST, "e")
+    board.merge_report(away.make_report())
+    board.record_answer(FIRST_DIGEST, "e9")
+    record_crash(board, SECOND_DIGEST, "f")
+    for digest in range(100, 100 + 2 * crash_board.BOUNDS.answers):
+        board.record_answer(digest, "e9")
+    clock.advance(3600.0)
+    away.announce_all()
+    exchange(away, board)
+    assert not board.is_refused(FIRST_DIGEST)
+    exchange(away, board)
+    assert not away.is_refused(FIRST_DIGEST)
+
+
 def test_an_older_crash_that_a_peer_reports_late_is_not_counted(
     board: crash_board.CrashBoard, clock: Clock
 ) -> None:
--- a/tests/router/test_cut_answers.py
+++ b/tests/router/test_cut_answers.py
@@ -234,7 +234,7 @@
     pool.close()
 
 
-# Guards against ORDER: a broken stream looked whole to a caller without chunks.
+# Guards against ORDER: a cut stream looked whole to a caller without chunks.
 async def test_a_cut_stream_is_reset_for_a_caller_without_chunks(
     fleet: support.Fleet,
 ) -> None:
