--- a/tests/router/test_crash_board.py
+++ b/tests/router/test_crash_board.py
@@ -291,7 +291,9 @@
     board: crash_board.CrashBoard, clock: Clock
 ) -> None:
     away = make_board()
-    refuse(away, FIRST_DIGEST, "e")
+    for number in range(crash_board.CRASH_LIMIT):
+        record_crash(away, FIRST_DIGEST, f"e{number}")
+        clock.advance(1.0)
     board.merge_report(away.make_report())
     board.record_answer(FIRST_DIGEST, "e9")
     record_crash(board, SECOND_DIGEST, "f")
