Teach the soak crashing requests, late writes, cut heads, repeats and stops

New faults: a request that crashes three endpoints of a service of its own comes to any router all the time; an endpoint's older heartbeat is carried out up to a second after the write that it drains, with its usual heartbeats after it; an answer ends after any number of bytes, in its head too; every fifth request is sent once more under its id; a request of which half the body has come meets a planned stop. New checks: no more than three further runs of the crashing request later than the time of contact; no request at a draining endpoint later than two seconds after it was confirmed, from instances that were not disturbed; runs and refusals of an id are no more than how often it was sent; in a stop each request gets an answer, also one that had reached an endpoint, which the check excused before.

--- a/standins/platform_caller.py
+++ b/standins/platform_caller.py
@@ -89,6 +89,27 @@
             self._writer.write(self._framing.send(h11.Data(data=body)) or b"")
         self._writer.write(self._framing.send(h11.EndOfMessage()) or b"")
 
+    def send_half(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        length: int,
+    ) -> None:
+        """Send a request of which half of the body is missing.
+
+        :param length: the length of the body that the head states.
+        """
+        fields = [*headers, ("Content-Length", str(length))]
+        encoded = [
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in fields
+        ]
+        head = h11.Request(method=method, target=target, headers=encoded)
+        self._writer.write(self._framing.send(head) or b"")
+        half = h11.Data(data=b"x" * (length // 2))
+        self._writer.write(self._framing.send(half) or b"")
+
     async def read_reply(self, pace: ReadPace = AT_ONCE) -> Reply:
         """Return the answer to the request that was sent."""
         status = 0
--- a/standins/platform_endpoint.py
+++ b/standins/platform_endpoint.py
@@ -64,6 +64,8 @@
         it on the same connection, whatever runs there then; None for never.
     :param is_written_at_once: whether head and body are one write, and the
         end of the connection follows at once.
+    :param cut_after: the bytes after which the connection is closed in order;
+        None to write the whole answer.
     """
 
     status: int = 200
@@ -83,6 +85,7 @@
     piece_pause_seconds: float = 0.0
     late_copy_seconds: float | None = None
     is_written_at_once: bool = False
+    cut_after: int | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,7 +127,8 @@
     ``plans`` holds the answers to the next requests; once it is empty,
     ``default`` applies. ``plans_by_request`` goes first. A request whose
     prompt has ``crashing_part`` crashes the endpoint once the head of the
-    answer and ``crashing_tail`` are written.
+    answer and ``crashing_tail`` are written; one for ``crashing_target``
+    crashes it before.
     ``arrivals`` records the requests, except those that were refused as not
     run or because they expect another instance. ``contacts`` records all but
     the latter.
@@ -151,6 +155,7 @@
         self.plans_by_request: dict[str, Plan] = {}
         self.crashing_part = ""
         self.crashing_tail = b""
+        self.crashing_target = ""
         self.crashed = asyncio.Event()
         self.arrivals: list[Arrival] = []
         self.contacts: list[Contact] = []
@@ -310,6 +315,10 @@
         if self.crashing_tail:
             writer.write(answer.encode_data(self.crashing_tail))
         await writer.drain()
+        self._drop_all()
+
+    def _drop_all(self) -> None:
+        """Stop listening and drop all connections, but for this task's."""
         if self._server is not None:
             self._server.close()
         self.crashed.set()
@@ -335,6 +344,10 @@
         if self._is_crashing(arrival):
             await self._crash(plan, arrival, framing, writer)
             return False
+        if self.crashing_target and arrival.target == self.crashing_target:
+            self._drop_all()
+            writer.transport.abort()
+            return False
         if plan.gate is not None and not await _wait_for_gate(
             plan.gate, reader
         ):
@@ -349,6 +362,9 @@
             return await _repeat(
                 plan.noise, plan.pause_seconds, writer, self.unread_seconds
             )
+        if plan.cut_after is not None:
+            _write_cut(plan, plan.cut_after, arrival, framing, writer)
+            return False
         return await _write(
             plan, arrival, framing, reader, writer, self.unread_seconds
         )
@@ -487,6 +503,22 @@
         return b""
 
 
+def _write_cut(
+    plan: Plan,
+    size: int,
+    arrival: Arrival,
+    framing: h11.Connection,
+    writer: asyncio.StreamWriter,
+) -> None:
+    """Write the first bytes of an answer, and close in order."""
+    answer = _AnswerWriter(plan, arrival, framing)
+    data = answer.encode_head()
+    for piece in plan.pieces:
+        data += answer.encode_data(piece)
+    writer.write((data + answer.encode_end())[:size])
+    writer.write_eof()
+
+
 async def _write(
     plan: Plan,
     arrival: Arrival,
--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -48,6 +48,10 @@
 )
 # Kind of each route, and the maximum number of attempts of a request.
 ROUTES = (("safe", 2), ("unsafe", 1), ("streaming", 3))
+# Services of plain endpoints with a route each, for faults of the soak: one
+# that a request crashes, and one whose writes come late.
+FRAGILE = "fragile"
+STEADY = "steady"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,11 +239,26 @@
             }
             for kind, attempts in ROUTES
         ]
+        routes += [
+            {
+                "name": service,
+                "host": HOST,
+                "pathPrefix": f"/{service}/",
+                "kind": "safe",
+                "service": service,
+                "timeoutMs": 4000,
+                "targetLatencyMs": 1000,
+                "maxAttempts": 2,
+            }
+            for service in (FRAGILE, STEADY)
+        ]
         table = {
             "version": version,
             "routes": routes,
             "services": [
                 {"name": "plain"},
+                {"name": FRAGILE},
+                {"name": STEADY},
                 {
                     "name": "engine",
                     "coldStartS": COLD_START_SECONDS,
@@ -288,6 +307,7 @@
         body: bytes = b"body",
         kept: platform_caller.KeptConnections | None = None,
         key: str = KEY,
+        target: str = "",
     ) -> platform_caller.Reply:
         """Send a request to a router and return its answer.
 
@@ -300,6 +320,7 @@
         :param body: the body, unless the kind is ``safe``.
         :param kept: the caller's connections; None for a new one.
         :param key: the caller's key.
+        :param target: the path; "" for one of the kind's route.
         :returns: the answer; its status is 0 if none came in time.
         """
         fields = make_fields(request_id, session, shared, key)
@@ -310,7 +331,7 @@
                 return await call(
                     self._ports.callers,
                     method,
-                    f"/{kind}/x",
+                    target or f"/{kind}/x",
                     fields,
                     b"" if kind == "safe" else body,
                     address,
--- a/standins/soak_notices.py
+++ b/standins/soak_notices.py
@@ -43,13 +43,23 @@
     """
 
     def __init__(self) -> None:
-        self._calls: dict[str, Call] = {}
+        # Callers may send a request again under its id.
+        self._calls: dict[str, list[Call]] = collections.defaultdict(list)
         self._passed_at: dict[str, float] = {}
         self._spans: dict[str, list[Span]] = collections.defaultdict(list)
 
     def record_call(self, request: str, router: str, sent_at: float) -> None:
         """Record a request that a caller sends."""
-        self._calls[request] = Call(router, sent_at)
+        self._calls[request].append(Call(router, sent_at))
+
+    def _find_call(self, contact: platform_endpoint.Contact) -> Call | None:
+        """Return the call that led to a contact, the last one before it."""
+        calls = [
+            call
+            for call in self._calls.get(contact.request, [])
+            if call.sent_at <= contact.at
+        ]
+        return calls[-1] if calls else None
 
     def record_passed_on(self, request: str, at: float) -> None:
         """Record when a caller got an answer that says `leaving`."""
@@ -91,12 +101,12 @@
         told: dict[tuple[str, int], float] = {}
         for contact in endpoint.contacts:
             at = self._passed_at.get(contact.request)
-            call = self._calls.get(contact.request)
+            call = self._find_call(contact)
             if contact.is_leaving and at is not None and call is not None:
                 key = (call.router, contact.start)
                 told[key] = min(at, told.get(key, at))
         for contact in endpoint.contacts:
-            call = self._calls.get(contact.request)
+            call = self._find_call(contact)
             if call is None:
                 continue
             at = told.get((call.router, contact.start))
@@ -118,7 +128,7 @@
             collections.defaultdict(list)
         )
         for contact in endpoint.contacts:
-            call = self._calls.get(contact.request)
+            call = self._find_call(contact)
             if call is not None:
                 by_router[call.router].append(contact)
         for router, contacts in by_router.items():
