Keep the port open for as long as new connections may arrive

Callers saw: with a grace period of 4 s, requests on new connections between 1.6 and 2.2 s after SIGTERM were turned away by a closed port (three of twelve in tests/standins/test_soak_pressure.py beside load).

Cause: the change of the planned stop let an idle instance close its port after 0.4 of the grace period. The platform still sends connections for up to 3.2 s.

Change: it closes after 0.8 of the grace period at the earliest, or those 3.2 s. Requests that come meanwhile get a 503.

Measured: 18 tests of shutdown, pressure and admission pass.

Why it works: what comes is refused with an answer for as long as it may come.

--- a/packages/wagtailstream-router/wagtailstream_router/app.py
+++ b/packages/wagtailstream-router/wagtailstream_router/app.py
@@ -60,7 +60,7 @@
 # Fractions of the grace period after which no request is taken, no connection
 # is expected, and open requests get their final answer.
 ACCEPT_SHARE = 1.0 / 3.0
-LEAVE_SHARE = 0.4
+LEAVE_SHARE = 0.8
 GRACE_SHARE = 0.87
 # The time to send final answers, and to flush the last bytes to the sockets.
 FLUSH_SECONDS = 0.05
