--- a/tests/router/test_exposure.py
+++ b/tests/router/test_exposure.py
@@ -103,6 +103,24 @@
     assert outcome.moved_back <= 3
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("killed_at", [(6.0,), (12.0,), (10.5, 14.0)])
+async def test_no_session_moves_back_when_instances_are_killed(
+    killed_at: tuple[float, ...],
+    seed: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    day = rollout_play.Day(
+        constant(28.0),
+        never_fail,
+        seed,
+        session_count=60,
+        killed_at=killed_at,
+    )
+    outcome = await rollout_play.Play(day, monkeypatch).run()
+    assert outcome.moved_back <= 3
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 async def test_a_good_version_beside_a_burst_is_completed_in_its_time(
     seed: int, monkeypatch: pytest.MonkeyPatch
--- a/tests/router/test_rollout.py
+++ b/tests/router/test_rollout.py
@@ -17,6 +17,7 @@
     exposure,
     peer_report,
     replica,
+    request,
     rollout,
     rollout_state,
     rollout_status,
@@ -157,6 +158,70 @@
     assert moved[0] == moved[1]
 
 
+def list_moved(
+    harness: RolloutHarness, part: str, members: list[directory.Member]
+) -> set[str]:
+    """Return the sessions whose next request goes to the new version.
+
+    :param part: the shared part of the requests' prompts.
+    """
+    moved = set()
+    for session in (f"session-{number}" for number in range(60)):
+        task = rollout_play.make_job(f"{part}-{session}", session)
+        parts = (
+            request.PromptPart(part, 100),
+            request.PromptPart(session, 10),
+        )
+        task.call = dataclasses.replace(task.call, parts=parts)
+        if harness.rollouts.filter(task, members)[0].entry.version == "v2":
+            moved.add(session)
+    return moved
+
+
+@pytest.fixture
+def half_over(
+    harness: RolloutHarness, monkeypatch: pytest.MonkeyPatch
+) -> RolloutHarness:
+    """Return an instance in the second half of a roll-out; time stands."""
+    now = time.monotonic()
+    monkeypatch.setattr(time, "monotonic", lambda: now)
+    harness.rollouts.progress["engine"].started_at = now - 0.7 * 20.0
+    return harness
+
+
+# Guards against PINNED: sessions that use two shared parts in turn changed the
+# version with the part.
+def test_a_session_keeps_its_version_whatever_shared_part_it_uses(
+    half_over: RolloutHarness,
+) -> None:
+    moved = list_moved(half_over, "first", half_over.members)
+    assert 0 < len(moved) < 60
+    for part in ("second", "third"):
+        assert list_moved(half_over, part, half_over.members) == moved
+
+
+def test_a_session_keeps_its_version_at_an_instance_that_restarted(
+    half_over: RolloutHarness,
+) -> None:
+    moved = list_moved(half_over, "first", half_over.members)
+    restarted = make_harness()
+    restarted.order("v2")
+    (report,) = half_over.rollouts.list_reports()
+    restarted.rollouts.handle_report(rollout_state.Start("peer", 1), report)
+    for part in ("first", "second"):
+        assert list_moved(restarted, part, restarted.members) == moved
+
+
+@pytest.mark.parametrize("lost", ["new-0", "new-1", "new-2", "new-3", "old-0"])
+def test_a_session_keeps_its_version_when_an_endpoint_is_lost(
+    half_over: RolloutHarness, lost: str
+) -> None:
+    moved = list_moved(half_over, "first", half_over.members)
+    left = [each for each in half_over.members if each.identity != lost]
+    for part in ("first", "second"):
+        assert list_moved(half_over, part, left) == moved
+
+
 def test_a_wrong_wall_clock_does_not_end_the_first_half(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
