Let a request be open at the end of a stop in the soak, and repeat at one router

A stop under pressure meets one request that its endpoint never answers, and a caller repeats its request at the router that it asked before, where the same connection could be used.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -436,11 +436,12 @@
             self._sent += 1
             kind = self._random.choice(["safe", "unsafe", "streaming"])
             identity = f"{number}-{self._sent}"
-            await self._call(identity, kind, kept)
+            address = self._random.choice(self._fleet.addresses)
+            await self._call(identity, kind, address, kept)
             if self._repeat_random.random() < REPEATED_SHARE:
                 # The caller sends the request once more under its id.
                 self._repeats[identity] += 1
-                await self._call(identity, kind, kept)
+                await self._call(identity, kind, address, kept)
             await asyncio.sleep(0.02)
         if kept is not None:
             kept.close()
@@ -449,12 +450,12 @@
         self,
         request_id: str,
         kind: str,
+        address: str,
         kept: platform_caller.KeptConnections | None,
     ) -> None:
         if kind == "unsafe":
             self._unsafe.add(request_id)
         is_recovering = self._is_recovering
-        address = self._random.choice(self._fleet.addresses)
         self._notices.record_call(request_id, address, time.monotonic())
         reply = await self._fleet.call(request_id, kind, address, kept=kept)
         if reply.headers.get(names.LEAVING.lower()) == "1":
--- a/standins/soak_pressure.py
+++ b/standins/soak_pressure.py
@@ -15,7 +15,12 @@
 import statistics
 import time
 
-from standins import platform_caller, router_fleet, router_process
+from standins import (
+    platform_caller,
+    platform_endpoint,
+    router_fleet,
+    router_process,
+)
 from wagtailstream_adapter import names
 
 FLOOD = 40
@@ -80,6 +85,7 @@
             ]
             if is_stopped:
                 running.append(self._start_half(router))
+                running.append(self._start_open(router))
                 router.send_signal(signal.SIGTERM)
                 for _ in range(LATE):
                     await asyncio.sleep(LATE_SECONDS / LATE)
@@ -163,6 +169,16 @@
 
         return asyncio.ensure_future(call())
 
+    def _start_open(
+        self, router: router_process.RouterProcess
+    ) -> "asyncio.Task[_Call]":
+        """Send a request that is still under way as the router ends."""
+        identity = f"press-{self._count + 1}"
+        plan = platform_endpoint.Plan(gate=asyncio.Event())
+        for proxied in self._fleet.endpoints:
+            proxied.endpoint.plans_by_request[identity] = plan
+        return self._start(router, "light", "unsafe")
+
     def _check_answered(
         self, router: router_process.RouterProcess, calls: list[_Call]
     ) -> None:
