--- a/standins/soak_crashes.py
+++ b/standins/soak_crashes.py
@@ -41,6 +41,11 @@
         self._count = 0
         self._sequence = 0
 
+    @property
+    def crash_count(self) -> int:
+        """How often endpoints have crashed."""
+        return len(self._crashed_at)
+
     async def start(self) -> None:
         """Start the endpoints and the callers."""
         for number in range(ENDPOINTS):
