--- a/standins/router_fleet.py
+++ b/standins/router_fleet.py
@@ -221,6 +221,34 @@
         identity = proxied.endpoint.identity
         self.store.put(names.ENDPOINTS_TOPIC, identity, orjson.dumps(record))
 
+    def make_direct_entry(
+        self,
+        endpoint: platform_endpoint.PlatformEndpoint,
+        service: str,
+        state: str = "ready",
+    ) -> bytes:
+        """Return the next entry of an endpoint that no proxy stands before."""
+        self._sequence += 1
+        return orjson.dumps(
+            {
+                "service": service,
+                "address": endpoint.address,
+                "zone": "zone-1",
+                "version": "v1",
+                "slots": 8,
+                "state": state,
+                "coldRemainingMs": 0,
+                "sequence": self._sequence,
+                "born": 1 + endpoint.start_number,
+            }
+        )
+
+    def put_entry(
+        self, endpoint: platform_endpoint.PlatformEndpoint, entry: bytes
+    ) -> None:
+        """Write an endpoint's entry to the endpoints topic."""
+        self.store.put(names.ENDPOINTS_TOPIC, endpoint.identity, entry)
+
     def put_configuration(self, version: int) -> None:
         """Write a configuration with one route of each kind."""
         routes = [
--- a/standins/soak_crashes.py
+++ b/standins/soak_crashes.py
@@ -4,8 +4,6 @@
 import random
 import time
 
-import orjson
-
 from standins import platform_endpoint, router_fleet
 from wagtailstream_adapter import names
 
@@ -39,7 +37,6 @@
         self._crashed_at: list[float] = []
         self._sent_at: dict[str, float] = {}
         self._count = 0
-        self._sequence = 0
 
     @property
     def crash_count(self) -> int:
@@ -53,7 +50,7 @@
             endpoint.crashing_target = CRASHING_PATH
             await endpoint.start()
             self._endpoints.append(endpoint)
-            self.write_entry(endpoint)
+            self._write_entry(endpoint)
             self._tasks.append(asyncio.ensure_future(self._revive(endpoint)))
         for target in (CRASHING_PATH, SOUND_PATH):
             self._tasks.append(asyncio.ensure_future(self._send(target)))
@@ -66,30 +63,17 @@
         for endpoint in self._endpoints:
             await endpoint.close()
 
-    def write_entry(
+    def _write_entry(
         self, endpoint: platform_endpoint.PlatformEndpoint
     ) -> None:
         """Write an endpoint's entry; no proxy hides that its port is shut."""
-        self._sequence += 1
-        entry = {
-            "service": SERVICE,
-            "address": endpoint.address,
-            "zone": "zone-1",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "coldRemainingMs": 0,
-            "sequence": self._sequence,
-            "born": 1 + endpoint.start_number,
-        }
-        self._fleet.store.put(
-            names.ENDPOINTS_TOPIC, endpoint.identity, orjson.dumps(entry)
-        )
+        entry = self._fleet.make_direct_entry(endpoint, SERVICE)
+        self._fleet.put_entry(endpoint, entry)
 
     def write_entries(self) -> None:
         """Write all entries, also after the store lost them."""
         for endpoint in self._endpoints:
-            self.write_entry(endpoint)
+            self._write_entry(endpoint)
 
     async def _revive(
         self, endpoint: platform_endpoint.PlatformEndpoint
@@ -101,7 +85,7 @@
             endpoint.crashed.clear()
             endpoint.begin_start()
             await endpoint.start()
-            self.write_entry(endpoint)
+            self._write_entry(endpoint)
 
     async def _send(self, target: str) -> None:
         while True:
--- a/standins/soak_late_writes.py
+++ b/standins/soak_late_writes.py
@@ -5,10 +5,7 @@
 import random
 import time
 
-import orjson
-
 from standins import platform_endpoint, router_fleet, soak_notices
-from wagtailstream_adapter import names
 
 SERVICE = router_fleet.STEADY
 ENDPOINTS = 3
@@ -57,7 +54,6 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._drains: list[_Drain] = []
         self._routers: dict[str, str] = {}
-        self._sequence = 0
         self._draining = ""
 
     async def start(self) -> None:
@@ -83,48 +79,31 @@
         for endpoint in self._endpoints:
             is_draining = endpoint.identity == self._draining
             state = "draining" if is_draining else "ready"
-            self._put(endpoint, self._make_entry(endpoint, state))
-
-    def _make_entry(
-        self, endpoint: platform_endpoint.PlatformEndpoint, state: str
-    ) -> bytes:
-        self._sequence += 1
-        return orjson.dumps(
-            {
-                "service": SERVICE,
-                "address": endpoint.address,
-                "zone": "zone-1",
-                "version": "v1",
-                "slots": 8,
-                "state": state,
-                "coldRemainingMs": 0,
-                "sequence": self._sequence,
-                "born": 1,
-            }
-        )
+            self._put(endpoint, state)
 
     def _put(
-        self, endpoint: platform_endpoint.PlatformEndpoint, entry: bytes
+        self, endpoint: platform_endpoint.PlatformEndpoint, state: str
     ) -> None:
-        self._fleet.store.put(names.ENDPOINTS_TOPIC, endpoint.identity, entry)
+        entry = self._fleet.make_direct_entry(endpoint, SERVICE, state)
+        self._fleet.put_entry(endpoint, entry)
 
     async def _drain(self) -> None:
         while True:
             await asyncio.sleep(self._random.uniform(0.2, 0.6))
             endpoint = self._random.choice(self._endpoints)
-            late = self._make_entry(endpoint, "ready")
+            late = self._fleet.make_direct_entry(endpoint, SERVICE)
             self._draining = endpoint.identity
-            self._put(endpoint, self._make_entry(endpoint, "draining"))
+            self._put(endpoint, "draining")
             confirmed_at = time.monotonic()
             ends_at = confirmed_at + DRAINING_SECONDS
             await asyncio.sleep(self._random.uniform(0.0, MAX_LATE_SECONDS))
-            self._put(endpoint, late)
+            self._fleet.put_entry(endpoint, late)
             while (left := ends_at - time.monotonic()) > 0.0:
                 await asyncio.sleep(min(left, HEARTBEAT_SECONDS))
-                self._put(endpoint, self._make_entry(endpoint, "draining"))
+                self._put(endpoint, "draining")
             self._drains.append(_Drain(endpoint, confirmed_at, ends_at))
             self._draining = ""
-            self._put(endpoint, self._make_entry(endpoint, "ready"))
+            self._put(endpoint, "ready")
 
     async def _send(self) -> None:
         count = 0
