Tell peers of the next write of an endpoint after an older one

Callers saw: an instance that started just after the store had carried an older heartbeat out went on sending requests to an endpoint that leaves, for as long as it drained (DRAIN).

Cause: the instance reads the older write as the newest record. The others know the newer one, for them the endpoint's next heartbeat changes nothing, and by that they tell their peers that there is nothing to read.

Change: the replica remembers which keys had an older write as their last record. The next write of such a key counts as a change that peers have to read.

Why it works: after an older write, the first record that corrects it is read by all, whatever each of them had believed.

--- a/packages/wagtailstream-router/wagtailstream_router/directory.py
+++ b/packages/wagtailstream-router/wagtailstream_router/directory.py
@@ -454,6 +454,7 @@
         for key in list(self._members):
             if key not in records:
                 self._handle_missing(key)
+        self._changed_end = max(self._changed_end, copy.corrected_end)
         self._is_first_read = self._is_first_read and not copy.is_loaded
 
     def _presume_cold(self, zone: str) -> None:
--- a/packages/wagtailstream-router/wagtailstream_router/replica.py
+++ b/packages/wagtailstream-router/wagtailstream_router/replica.py
@@ -51,6 +51,9 @@
         self._read_order = read_order
         # In the order in which they were read.
         self._writes: dict[str, _Write] = {}
+        # The keys whose last record was an older write.
+        self._superseded: set[str] = set()
+        self._corrected_end = 0
         self._records: dict[str, store.Record] = {}
         self._end = store.Position(0, -1)
         self._era_began_at = float("-inf")
@@ -78,6 +81,15 @@
         """Where the copy ends; offset -1 before any read."""
         return self._end
 
+    @property
+    def corrected_end(self) -> int:
+        """The offset after the last record that followed an older write.
+
+        An instance that has read the older write only needs that record,
+        also if it changes nothing here.
+        """
+        return self._corrected_end
+
     @property
     def is_loaded(self) -> bool:
         """Whether the topic was read completely at least once."""
@@ -154,6 +166,8 @@
             # outage.
             self._era_began_at = self._reconfirmed_at = now
             self._writes = {}
+            self._superseded = set()
+            self._corrected_end = 0
         records = {record.key: record for record in page.records}
         for record in page.records:
             if not self._accept(record):
@@ -197,9 +211,13 @@
         latest = self._writes.get(record.key)
         if latest is not None and order < latest.order:
             if now - latest.at < LATE_WRITE_SECONDS:
+                self._superseded.add(record.key)
                 return False
         elif latest is not None and order == latest.order:
             return True
+        if record.key in self._superseded:
+            self._superseded.remove(record.key)
+            self._corrected_end = max(self._corrected_end, record.offset + 1)
         self._writes.pop(record.key, None)
         self._writes[record.key] = _Write(order, now)
         for key, write in list(self._writes.items()):
--- a/tests/router/test_directory.py
+++ b/tests/router/test_directory.py
@@ -208,6 +208,36 @@
     assert not peer.is_used
 
 
+# Guards against DRAIN: an instance that had read the older write only took the
+# word of its peers that nothing had changed since.
+@pytest.mark.parametrize("is_read_anew", [False, True])
+def test_peers_learn_of_the_next_write_after_an_older_one(
+    is_read_anew: bool,
+) -> None:
+    instance = Instance()
+    instance.read(make_write(5))
+    instance.read(make_write(7, "draining"))
+    if is_read_anew:
+        late = store.Record("a", orjson.dumps(make_write(6)), 2)
+        instance.copy.reload(store.Page((late,), 3), time.monotonic())
+    else:
+        instance.read(make_write(6))
+    started = Instance()
+    started.copy.reload(
+        store.Page((store.Record("a", orjson.dumps(make_write(6)), 2),), 3),
+        time.monotonic(),
+    )
+    assert started.is_used
+    for sequence in (8, 9):
+        # Heartbeats change no member here, but what others believe.
+        instance.read(make_write(sequence, "draining"))
+        if instance.members.changed_end > started.copy.end.offset:
+            started.read_peer(instance)
+    assert not started.is_used
+    # From then on they change nothing.
+    assert instance.members.changed_end == 4
+
+
 def test_an_entry_of_another_writer_holds_up_no_write() -> None:
     instance = Instance()
     instance.read(make_write(5))
