--- a/tests/router/test_endpoint_notices.py
+++ b/tests/router/test_endpoint_notices.py
@@ -315,9 +315,10 @@
         self,
         address: str,
         used: collections.abc.Container[endpoint_link.EndpointLink] = (),
+        identity: str = "",
     ) -> endpoint_link.EndpointLink:
         """Return a connection, after the endpoint has spoken."""
-        link = await super().acquire(address, used)
+        link = await super().acquire(address, used, identity)
         self._speak()
         return link
 
