--- a/packages/wagtailstream-router/wagtailstream_router/crash_records.py
+++ b/packages/wagtailstream-router/wagtailstream_router/crash_records.py
@@ -1,6 +1,6 @@
 """Keeps what is refused because of crashes in the store.
 
-Peers tell each other what is refused. The records are for instances that
+Peers report to each other what is refused. The records are for instances that
 start when no peer knows it any more: a start reads them, and so does each
 instance once the store has come back from an older copy. While the store is
 away, peers alone pass it on, and it is written afterwards.
